--- /dev/null
+++ b/src/api/service.ts
@@ -0,0 +1,377 @@
+import type { Logger } from 'pino';
+import type { Settings } from '../config/settings.js';
+import type { Catalog } from '../cloud/catalog.js';
+import type { StoreFront } from '../ledger/front.js';
+import { statusOf, type Final, type Job } from '../ledger/job.js';
+import type { Election } from '../leader/election.js';
+import type { Answer, Term } from '../leader/term.js';
+import type { Peer, PeerReply, PeerRequest } from '../peer/channel.js';
+import {
+  JobId,
+  later,
+  ms,
+  since,
+  seconds,
+  type Clock,
+  type DurationMs,
+  type MachineId,
+  type NodeId,
+  type SteadyMs,
+} from '../units/index.js';
+import {
+  Beat,
+  JOB_ID,
+  decode,
+  encode,
+  parseSubmission,
+  submissionId,
+  type JobStatus,
+} from '../wire/index.js';
+
+export interface Reply {
+  readonly status: number;
+  readonly body?: unknown;
+  /** Seconds after which to come back. */
+  readonly retryAfter?: number;
+}
+
+const RELAY_SUBMIT = ms(700);
+const RELAY_READ = ms(800);
+const RELAY_ABORT = ms(1500);
+const RELAY_BEAT = ms(2500);
+/** The longest a user's request is worked on before it gets its final answer. */
+const PATIENCE = ms(2500);
+/** A worker that we sent to the leader and that is back this soon can't reach it. */
+const BOUNCE = seconds(9);
+const RELAY_FOR = seconds(20);
+
+const later503: Reply = { status: 503, retryAfter: 1 };
+const notFound: Reply = { status: 404, body: { error: 'no such job' } };
+
+interface Sent {
+  at: SteadyMs;
+  relayUntil: SteadyMs | undefined;
+}
+
+/**
+ * What this node answers to users, workers and other nodes: by itself while it leads, otherwise
+ * through the leader, otherwise from the store as far as that goes without one.
+ */
+export class Service {
+  term: Term | undefined;
+  private readonly redirected = new Map<MachineId, Sent>();
+  private storeSeen = false;
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly election: Election,
+    private readonly front: StoreFront,
+    private readonly catalog: Catalog,
+    private readonly peers: ReadonlyMap<NodeId, Peer>,
+    private readonly clock: Clock,
+    private readonly log: Logger,
+  ) {}
+
+  /** The term under which we may answer at this moment. */
+  private ruling(): Term | undefined {
+    const epoch = this.election.authority();
+    return epoch !== undefined && this.term?.epoch === epoch && !this.term.isClosed
+      ? this.term
+      : undefined;
+  }
+
+  private leader(): Peer | undefined {
+    const node = this.election.leader();
+    const peer = node === undefined ? undefined : this.peers.get(node);
+    return peer?.responsive ? peer : undefined;
+  }
+
+  /**
+   * Healthy once it has been in touch with the store or a leader. It stays so when the store is
+   * out: a node that says "come back" at once serves users better than one taken off the balancer,
+   * whose connections are reset and which is let back in only after a pause.
+   */
+  up(): Reply {
+    this.storeSeen ||= this.election.leader() !== undefined;
+    return this.storeSeen ? { status: 200, body: { node: this.settings.node } } : later503;
+  }
+
+  async user(method: string, path: string, body: Buffer): Promise<Reply> {
+    const id = /^\/v1\/jobs\/([^/]+)$/.exec(path)?.[1];
+    const abort = /^\/v1\/jobs\/([^/]+)\/abort$/.exec(path)?.[1];
+    if (path === '/v1/jobs') {
+      return method === 'POST' ? this.submit(body) : { status: 405 };
+    }
+    if (id !== undefined) {
+      return method === 'GET' ? this.read(id) : { status: 405 };
+    }
+    if (abort !== undefined) {
+      return method === 'POST' ? this.abort(abort) : { status: 405 };
+    }
+    return { status: 404, body: { error: 'no such path' } };
+  }
+
+  /** Whatever is still being worked on after a while gets its answer: come back. */
+  private patient(work: Promise<Reply>): Promise<Reply> {
+    return new Promise((resolve) => {
+      const timer = this.clock.after(PATIENCE, () => resolve(later503));
+      work.then(
+        (reply) => {
+          timer.cancel();
+          resolve(reply);
+        },
+        (e: unknown) => {
+          timer.cancel();
+          this.log.error({ err: e }, 'request failed');
+          resolve(later503);
+        },
+      );
+    });
+  }
+
+  private async relay(request: PeerRequest, timeout: DurationMs): Promise<Reply | undefined> {
+    const reply = await this.leader()?.ask(request, timeout);
+    // A 503 of the node we took for the leader says no more than that it is not ready.
+    if (!reply || reply.status === 503) return undefined;
+    return {
+      status: reply.status,
+      ...(reply.body.length > 0 ? { body: decode(reply.body) } : {}),
+      ...(reply.retryAfter > 0 ? { retryAfter: reply.retryAfter } : {}),
+    };
+  }
+
+  // --- users ------------------------------------------------------------------------------------
+
+  private submit(body: Buffer): Promise<Reply> {
+    return this.patient(this.submitNow(body, true));
+  }
+
+  private async submitNow(body: Buffer, relay: boolean): Promise<Reply> {
+    const parsed = parseSubmission(body);
+    const verdict = parsed.ok ? this.catalog.judge(parsed.value, this.settings.teams) : undefined;
+    if (!parsed.ok || typeof verdict === 'object') {
+      // A repeat of a job that was accepted is answered with its state, whatever it says now.
+      const id = submissionId(body);
+      if (id !== undefined) {
+        const known = await this.readNow(id, relay);
+        if (known.status !== 404) return known;
+      }
+      return parsed.ok
+        ? { status: 422, body: { error: typeof verdict === 'object' ? verdict.never : '' } }
+        : { status: 400, body: { error: parsed.why } };
+    }
+    const term = this.ruling();
+    if (term?.isReady) {
+      if (verdict === 'unsure') return this.readKnownOr503(term, parsed.value.name_id);
+      const answer = await term.submit(parsed.value);
+      if (answer.kind === 'created') {
+        return { status: 201, body: { name_id: parsed.value.name_id, status: 'pending' } };
+      }
+      return this.answer(parsed.value.name_id, answer, later503);
+    }
+    if (relay && !term) {
+      const told = await this.relay(
+        { kind: 'user', method: 'POST', path: '/v1/jobs', body },
+        RELAY_SUBMIT,
+      );
+      if (told) return told;
+    }
+    if (verdict === 'unsure') return later503;
+    // No leader can be reached: the record is made by this node, if there is none.
+    const made = await this.front.create(parsed.value);
+    if (made === 'created') {
+      this.notify(parsed.value.name_id);
+      return { status: 201, body: { name_id: parsed.value.name_id, status: 'pending' } };
+    }
+    if (made === 'exists') {
+      const known = await this.readNow(parsed.value.name_id, relay);
+      return known.status === 404 ? later503 : known;
+    }
+    return later503;
+  }
+
+  private async readKnownOr503(term: Term, id: string): Promise<Reply> {
+    return this.answer(id, await term.find(JobId(id)), later503);
+  }
+
+  /** Tells the leader of a job that we took in, as a courtesy: it also watches the notices. */
+  private notify(id: string): void {
+    const term = this.ruling();
+    if (term) {
+      if (term.isReady) void term.find(JobId(id)).catch(() => undefined);
+      return;
+    }
+    void this.leader()
+      ?.ask({ kind: 'notice', method: '', path: id, body: Buffer.alloc(0) }, RELAY_READ)
+      .catch(() => undefined);
+  }
+
+  private read(id: string): Promise<Reply> {
+    return this.patient(this.readNow(id, true));
+  }
+
+  private async readNow(id: string, relay: boolean): Promise<Reply> {
+    if (!JOB_ID.test(id)) return notFound;
+    const term = this.ruling();
+    if (term?.isReady) return this.answer(id, await term.find(JobId(id)), notFound);
+    if (relay && !term) {
+      const told = await this.relay(
+        { kind: 'user', method: 'GET', path: `/v1/jobs/${id}`, body: Buffer.alloc(0) },
+        RELAY_READ,
+      );
+      if (told) return told;
+    }
+    const held = await this.front.lookup(JobId(id));
+    if (held.kind === 'live') return { status: 200, body: this.jobBody(held.job) };
+    if (held.kind === 'final') return { status: 200, body: this.finalBody(id, held.final) };
+    return held.kind === 'absent' ? notFound : later503;
+  }
+
+  private abort(id: string): Promise<Reply> {
+    return this.patient(this.abortNow(id, true));
+  }
+
+  private async abortNow(id: string, relay: boolean): Promise<Reply> {
+    if (!JOB_ID.test(id)) return notFound;
+    const term = this.ruling();
+    if (term?.isReady) return this.answer(id, await term.abort(JobId(id)), notFound);
+    if (relay && !term) {
+      const told = await this.relay(
+        { kind: 'user', method: 'POST', path: `/v1/jobs/${id}/abort`, body: Buffer.alloc(0) },
+        RELAY_ABORT,
+      );
+      if (told) return told;
+    }
+    const held = await this.front.abort(JobId(id));
+    if (held.kind === 'live') return { status: 200, body: this.jobBody(held.job) };
+    if (held.kind === 'final') return { status: 200, body: this.finalBody(id, held.final) };
+    return held.kind === 'absent' ? notFound : later503;
+  }
+
+  private answer(id: string, answer: Answer, absent: Reply): Reply {
+    switch (answer.kind) {
+      case 'job':
+        // Not committed yet: nobody may be told of it.
+        return answer.job.revision > 0
+          ? { status: 200, body: this.jobBody(answer.job) }
+          : later503;
+      case 'final':
+        return { status: 200, body: this.finalBody(id, answer.final) };
+      case 'absent':
+        return absent;
+      case 'unsure':
+        return later503;
+    }
+  }
+
+  private jobBody(job: Job): Record<string, unknown> {
+    // Only what is committed is shown; a cancellation that a follower wrote is.
+    const status: JobStatus = statusOf(
+      { ...job.shown, aborted: job.shown.aborted || (job.aborted && job.committed >= job.version) },
+      job.spec.entries,
+    );
+    return {
+      name_id: job.id,
+      status,
+      done: job.shown.done,
+      running: status === 'aborted' ? 0 : job.shown.running,
+      desk: job.spec.desk,
+    };
+  }
+
+  private finalBody(id: string, final: Final): Record<string, unknown> {
+    return {
+      name_id: id,
+      status: final.status,
+      done: final.done,
+      running: 0,
+      desk: final.desk,
+      cause: final.cause,
+    };
+  }
+
+  // --- workers ----------------------------------------------------------------------------------
+
+  async beat(body: Buffer, relayed = false): Promise<Reply> {
+    let value: unknown;
+    try {
+      value = decode(body);
+    } catch {
+      return { status: 400, body: { error: 'not CBOR' } };
+    }
+    const parsed = Beat.safeParse(value);
+    if (!parsed.success) return { status: 400, body: { error: 'not a report' } };
+    const term = this.ruling();
+    if (term) {
+      // It has seen a newer token than ours: we have no right to act any more.
+      if (parsed.data.baton > term.epoch) return { status: 503 };
+      const reply = term.beat(parsed.data);
+      return this.ruling() === term ? { status: 200, body: reply } : { status: 503 };
+    }
+    const node = this.election.leader();
+    if (relayed || node === undefined || node === this.settings.node) return { status: 503 };
+    return this.sendOn(parsed.data.box as MachineId, node, body);
+  }
+
+  /** A worker is sent to the leader; one that can't reach it is heard through this node. */
+  private async sendOn(id: MachineId, node: NodeId, body: Buffer): Promise<Reply> {
+    const now = this.clock.steady();
+    const sent = this.redirected.get(id);
+    const cutOff =
+      sent !== undefined &&
+      (sent.relayUntil !== undefined ? now < sent.relayUntil : since(sent.at, now) < BOUNCE);
+    if (cutOff) {
+      sent.relayUntil ??= later(now, RELAY_FOR);
+      const told = await this.leader()?.ask(
+        { kind: 'beat', method: 'POST', path: '', body },
+        RELAY_BEAT,
+      );
+      if (!told) return { status: 503 };
+      return { status: told.status, ...(told.body.length > 0 ? { body: decode(told.body) } : {}) };
+    }
+    this.redirected.set(id, { at: now, relayUntil: undefined });
+    if (this.redirected.size > 500) {
+      for (const [key, s] of this.redirected) {
+        if (since(s.at, now) > seconds(60)) this.redirected.delete(key);
+      }
+    }
+    return { status: 421, body: { clerk: node } };
+  }
+
+  // --- other nodes ------------------------------------------------------------------------------
+
+  async peer(request: PeerRequest): Promise<PeerReply> {
+    let reply: Reply;
+    switch (request.kind) {
+      case 'ping':
+        reply = { status: 200 };
+        break;
+      case 'notice': {
+        const term = this.ruling();
+        if (term?.isReady) await term.find(JobId(request.path));
+        reply = { status: term?.isReady ? 200 : 503 };
+        break;
+      }
+      case 'beat':
+        reply = this.ruling() ? await this.beat(request.body, true) : { status: 503 };
+        break;
+      case 'user':
+        // Answered under our own authority or not at all: no relaying in circles.
+        reply = this.ruling()?.isReady
+          ? await this.patient(this.relayedUser(request))
+          : { status: 503 };
+    }
+    return {
+      status: reply.status,
+      retryAfter: reply.retryAfter ?? 0,
+      body: reply.body === undefined ? Buffer.alloc(0) : encode(reply.body),
+    };
+  }
+
+  private relayedUser(request: PeerRequest): Promise<Reply> {
+    const { path } = request;
+    if (path === '/v1/jobs') return this.submitNow(request.body, false);
+    const id = path.split('/')[3] ?? '';
+    return request.method === 'GET' ? this.readNow(id, false) : this.abortNow(id, false);
+  }
+}
--- /dev/null
+++ b/src/capacity/keeper.ts
@@ -0,0 +1,320 @@
+import type { Logger } from 'pino';
+import type { OperatorSettings } from '../config/operator.js';
+import type { Settings } from '../config/settings.js';
+import { MAX_DELETE, MAX_HIRE, type CloudClient } from '../cloud/client.js';
+import type { Catalog } from '../cloud/catalog.js';
+import type { Machine } from '../fleet/machine.js';
+import type { Job } from '../ledger/job.js';
+import type { Size } from '../placer/placer.js';
+import { Backoff } from '../store/budget.js';
+import {
+  MachineId,
+  later,
+  ms,
+  seconds,
+  since,
+  type Clock,
+  type DurationMs,
+  type Epoch,
+  type Random,
+  type SteadyMs,
+} from '../units/index.js';
+import type { Box, Hire } from '../wire/index.js';
+import { offerKey, plan, type Coming, type Demand, type Plan } from './planner.js';
+
+/** What the keeper sees of the fleet, and does to it. */
+export interface FleetView {
+  readonly machines: ReadonlyMap<MachineId, Machine>;
+  readonly silentAfter: DurationMs;
+  queue(): Job[];
+  used(m: Machine): Size | undefined;
+  meet(id: MachineId, place: Machine['place'], addr: string): Machine;
+  isGone(id: MachineId): boolean;
+  removed(m: Machine, why: string): void;
+}
+
+interface Deps {
+  readonly settings: Settings;
+  readonly operator: OperatorSettings;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Logger;
+}
+
+interface Refusal {
+  until: SteadyMs;
+  times: number;
+}
+
+const FLAVORS_EVERY = seconds(60);
+const LIST_LEAST = seconds(4);
+const PLAN_EVERY = seconds(1);
+/** A boot counts on its way for this many times the usual, and is given up after that many. */
+const BOOT_LATE = 2;
+const BOOT_LOST = 4;
+/** A silent machine with tasks is deleted after this many report periods: quicker than its lease. */
+const SILENT_REPORTS = 4.5;
+/** More than this share of the fleet silent at once is a cut, or our own trouble, not their end. */
+const SILENT_SHARE = 0.25;
+const REFUSED_FIRST = seconds(8);
+const REFUSED_MOST = seconds(60);
+const MOST_NEW = 12;
+
+/**
+ * Rents and gives back. One cloud call at a time, the most useful first; a call that was not
+ * answered is repeated under its own name until it is.
+ */
+export class CapacityKeeper {
+  private busy = false;
+  private pending: Hire | undefined;
+  private queued: Plan[] = [];
+  private counter = 0;
+  private readonly refusals = new Map<string, Refusal>();
+  private readonly outage: Backoff;
+  private flavorsAt: SteadyMs | undefined;
+  private listAt: SteadyMs | undefined;
+  private planAt: SteadyMs | undefined;
+  /** Called when machine types were read that differ from those known. */
+  onCatalog: (() => void) | undefined;
+
+  constructor(
+    private readonly fleet: FleetView,
+    private readonly cloud: CloudClient,
+    private readonly catalog: Catalog,
+    private readonly epoch: Epoch,
+    private readonly deps: Deps,
+  ) {
+    this.outage = new Backoff(deps.clock, deps.random, ms(500), seconds(5));
+  }
+
+  tick(): void {
+    if (this.busy || this.outage.remaining() > 0 || !this.cloud.ready()) return;
+    const step = this.next(this.deps.clock.steady());
+    if (!step) return;
+    this.busy = true;
+    step()
+      .catch((e: unknown) => {
+        this.deps.log.error({ err: e }, 'cloud step failed');
+        return false;
+      })
+      .then((ok) => {
+        this.busy = false;
+        if (ok) {
+          this.outage.worked();
+          this.deps.clock.after(ms(1), () => this.tick());
+        } else this.outage.failed();
+      })
+      .catch(() => undefined);
+  }
+
+  /** The most useful call that is due. */
+  private next(now: SteadyMs): (() => Promise<boolean>) | undefined {
+    if (!this.catalog.known) return () => this.readFlavors(now);
+    const lost = this.lost(now);
+    if (lost.length > 0) return () => this.remove(lost);
+    if (this.pending) {
+      const hire = this.pending;
+      return () => this.hire(hire);
+    }
+    if (this.planAt === undefined || since(this.planAt, now) >= PLAN_EVERY) {
+      this.planAt = now;
+      this.queued = this.wanted(now);
+    }
+    const want = this.queued.shift();
+    if (want) {
+      const hire: Hire = {
+        hire: `e${this.epoch}-${++this.counter}`,
+        build: want.build,
+        hall: want.hall,
+        loaners: want.spot,
+        how_many: Math.min(want.count, MAX_HIRE),
+      };
+      this.pending = hire;
+      return () => this.hire(hire);
+    }
+    const listEvery = Math.max(LIST_LEAST, this.deps.settings.cloud.listLag);
+    if (this.listAt === undefined || since(this.listAt, now) >= listEvery) {
+      return () => this.readList(now);
+    }
+    const idle = this.idle(now);
+    if (idle.length > 0) return () => this.remove(idle);
+    if (this.flavorsAt === undefined || since(this.flavorsAt, now) >= FLAVORS_EVERY) {
+      return () => this.readFlavors(now);
+    }
+    return undefined;
+  }
+
+  private async readFlavors(now: SteadyMs): Promise<boolean> {
+    const flavors = await this.cloud.flavors();
+    if (!flavors) return false;
+    this.flavorsAt = now;
+    if (this.catalog.update(flavors)) this.onCatalog?.();
+    return true;
+  }
+
+  private async hire(hire: Hire): Promise<boolean> {
+    const result = await this.cloud.hire(hire);
+    const now = this.deps.clock.steady();
+    const offer = { build: hire.build, hall: hire.hall, spot: hire.loaners };
+    switch (result.kind) {
+      case 'hired': {
+        this.pending = undefined;
+        this.deps.log.info({ hire: hire.hire, ...offer, count: result.machines.length }, 'rented');
+        for (const id of result.machines) {
+          if (this.fleet.isGone(id)) continue;
+          const m = this.fleet.meet(id, offer, '');
+          if (!m.up) m.bootingSince ??= now;
+        }
+        if (result.machines.length < hire.how_many) this.refuse(offerKey(offer), now);
+        else this.refusals.delete(offerKey(offer));
+        return true;
+      }
+      case 'none':
+        this.pending = undefined;
+        this.refuse(offerKey(offer), now);
+        this.deps.log.info({ hire: hire.hire, ...offer }, 'no capacity');
+        return true;
+      case 'malformed':
+        this.pending = undefined;
+        this.refuse(offerKey(offer), now);
+        this.deps.log.error({ hire: hire.hire, ...offer }, 'rental refused as malformed');
+        return true;
+      case 'again':
+        this.deps.log.info({ hire: hire.hire, why: result.why }, 'rental not answered');
+        return false;
+    }
+  }
+
+  private refuse(key: string, now: SteadyMs): void {
+    const times = (this.refusals.get(key)?.times ?? 0) + 1;
+    const pause = Math.min(REFUSED_MOST, REFUSED_FIRST * 2 ** (times - 1));
+    const spread = 0.8 + 0.4 * this.deps.random();
+    this.refusals.set(key, { times, until: later(now, ms(pause * spread)) });
+  }
+
+  private refused(now: SteadyMs): Set<string> {
+    const out = new Set<string>();
+    for (const [key, r] of this.refusals) if (r.until > now) out.add(key);
+    return out;
+  }
+
+  private wanted(now: SteadyMs): Plan[] {
+    const demands: Demand[] = this.fleet.queue().map((job) => ({
+      size: { cpus: job.spec.vcpus, gpus: job.spec.gpus, ramGb: job.spec.ram_gb },
+      count: job.waiting.size,
+      builds: job.spec.builds,
+      hall: job.spec.hall,
+      spot: job.spec.loaners,
+    }));
+    if (demands.length === 0) return [];
+    const coming: Coming[] = [];
+    for (const m of this.fleet.machines.values()) {
+      const f = this.catalog.flavor(m.place.build);
+      if (!f || m.draining || m.deleteSent) continue;
+      const total: Size = { cpus: f.vcpus, gpus: f.gpus, ramGb: f.ram_gb };
+      if (m.up) {
+        const used = this.fleet.used(m);
+        if (!used) continue;
+        coming.push({
+          ...m.place,
+          free: {
+            cpus: total.cpus - used.cpus,
+            gpus: total.gpus - used.gpus,
+            ramGb: total.ramGb - used.ramGb,
+          },
+        });
+      } else if (
+        m.bootingSince !== undefined &&
+        since(m.bootingSince, now) < f.ready_s * 1000 * BOOT_LATE
+      ) {
+        coming.push({ ...m.place, free: total });
+      }
+    }
+    return plan(demands, coming, this.catalog.all(), this.refused(now), MOST_NEW);
+  }
+
+  /** Machines to be deleted at once: never booted, failed, vanished, or silent with tasks. */
+  private lost(now: SteadyMs): Machine[] {
+    const out: Machine[] = [];
+    const silent: Machine[] = [];
+    let up = 0;
+    for (const m of this.fleet.machines.values()) {
+      if (m.deleteSent) {
+        out.push(m);
+        continue;
+      }
+      const ready = (this.catalog.flavor(m.place.build)?.ready_s ?? 60) * 1000;
+      if (m.bootingSince !== undefined && since(m.bootingSince, now) > ready * BOOT_LOST) {
+        out.push(m);
+        continue;
+      }
+      if (m.lastHeard === undefined) continue;
+      up++;
+      const quiet = since(m.lastHeard, now);
+      if (m.missedLists >= 2 && quiet > this.fleet.silentAfter) out.push(m);
+      else if (quiet > this.deps.settings.workers.report * SILENT_REPORTS) silent.push(m);
+    }
+    if (silent.length <= Math.max(1, up * SILENT_SHARE)) out.push(...silent);
+    else out.push(...silent.filter((m) => !m.up));
+    return out.slice(0, MAX_DELETE);
+  }
+
+  private idle(now: SteadyMs): Machine[] {
+    const out: Machine[] = [];
+    for (const m of this.fleet.machines.values()) {
+      if (!m.up || m.assigned.size > 0 || m.idleSince === undefined) continue;
+      if (since(m.idleSince, now) < this.deps.operator.idle) continue;
+      const used = this.fleet.used(m);
+      if (used && used.cpus === 0) out.push(m);
+    }
+    return out.slice(0, MAX_DELETE);
+  }
+
+  private async remove(machines: readonly Machine[]): Promise<boolean> {
+    for (const m of machines) {
+      m.returning = true;
+      // From here on it may go at any time, however late the request is carried out.
+      m.deleteSent = true;
+    }
+    const ok = await this.cloud.remove(machines.map((m) => m.id));
+    if (!ok) return false;
+    for (const m of machines) this.fleet.removed(m, 'deleted');
+    return true;
+  }
+
+  private async readList(now: SteadyMs): Promise<boolean> {
+    const boxes = await this.cloud.list();
+    if (!boxes) return false;
+    this.listAt = now;
+    const seen = new Set<MachineId>();
+    for (const box of boxes) {
+      const id = MachineId(box.name_id);
+      seen.add(id);
+      if (!this.fleet.isGone(id)) this.take(id, box, now);
+    }
+    const settled = 2 * this.deps.settings.cloud.listLag;
+    for (const m of this.fleet.machines.values()) {
+      if (seen.has(m.id)) m.missedLists = 0;
+      // A list may be older than the one before, but not older than twice the lag.
+      else if (m.listedAt !== undefined && since(m.listedAt, now) > settled) m.missedLists++;
+      else if (m.listedAt === undefined && m.bootingSince === undefined && !m.up) m.missedLists++;
+    }
+    return true;
+  }
+
+  private take(id: MachineId, box: Box, now: SteadyMs): void {
+    const m = this.fleet.meet(
+      id,
+      { build: box.build, hall: box.hall, spot: box.loaners },
+      box.addr,
+    );
+    m.listedAt ??= now;
+    if (box.status === 'failed') {
+      // It stopped on its own: its tasks are gone. The delete only takes it off the list.
+      m.returning = true;
+      m.deleteSent = true;
+    } else if (!m.up && m.lastHeard === undefined) {
+      m.bootingSince ??= later(now, ms(-box.age_s * 1000));
+    }
+  }
+}
--- /dev/null
+++ b/src/cloud/client.ts
@@ -0,0 +1,94 @@
+import type { HttpClient, Outcome, Request } from '../net/http.js';
+import { Bucket } from '../store/budget.js';
+import {
+  MachineId,
+  ms,
+  type Clock,
+  type DurationMs,
+  type Endpoint,
+} from '../units/index.js';
+import { BoxPage, Flavors, Hired, type Box, type Flavor, type Hire } from '../wire/index.js';
+
+export const MAX_HIRE = 50;
+export const MAX_DELETE = 100;
+const PAGE = 500;
+const TIMEOUT: DurationMs = ms(5000);
+
+export type HireResult =
+  | { kind: 'hired'; machines: readonly MachineId[] }
+  | { kind: 'none' }
+  | { kind: 'malformed' }
+  /** Not carried out, or not known: to be repeated under the same name. */
+  | { kind: 'again'; why: string };
+
+/** The cloud that rents machines. Calls leave under its rate; whoever finds no turn asks later. */
+export class CloudClient {
+  private readonly bucket: Bucket;
+
+  constructor(
+    private readonly http: HttpClient,
+    private readonly endpoint: Endpoint,
+    clock: Clock,
+    rps: number,
+  ) {
+    this.bucket = new Bucket(clock, rps * 0.95, Math.max(1, rps * 1.8));
+  }
+
+  /** Whether a call may leave now. */
+  ready(): boolean {
+    return this.bucket.wait(1) <= 0;
+  }
+
+  private async send(request: Omit<Request, 'endpoint' | 'timeout'>): Promise<Outcome> {
+    this.bucket.spend(1);
+    const o = await this.http.send({ ...request, endpoint: this.endpoint, timeout: TIMEOUT });
+    if (o.kind === 'answer' && o.status === 429) this.bucket.drain();
+    return o;
+  }
+
+  async flavors(): Promise<readonly Flavor[] | undefined> {
+    const o = await this.send({ method: 'GET', path: '/flavors' });
+    if (o.kind !== 'answer' || o.status !== 200) return undefined;
+    const body = Flavors.safeParse(o.body);
+    return body.success ? body.data.builds : undefined;
+  }
+
+  async hire(request: Hire): Promise<HireResult> {
+    const o = await this.send({ method: 'POST', path: '/machines', body: request });
+    if (o.kind !== 'answer') return { kind: 'again', why: o.why };
+    if (o.status === 200) {
+      const body = Hired.safeParse(o.body);
+      if (body.success) return { kind: 'hired', machines: body.data.boxes.map(MachineId) };
+    }
+    const error = (o.body as { error?: unknown } | undefined)?.error;
+    if (o.status === 503 && error === 'no capacity') return { kind: 'none' };
+    if (o.status === 400) return { kind: 'malformed' };
+    return { kind: 'again', why: `status ${o.status}` };
+  }
+
+  /** True once the cloud has said that the machines are gone. */
+  async remove(machines: readonly MachineId[]): Promise<boolean> {
+    const o = await this.send({
+      method: 'POST',
+      path: '/machines/delete',
+      body: { boxes: machines },
+    });
+    return o.kind === 'answer' && o.status === 200;
+  }
+
+  async list(): Promise<readonly Box[] | undefined> {
+    const boxes: Box[] = [];
+    let from: string | undefined;
+    for (;;) {
+      const query = from === undefined ? '' : `from=${from}&`;
+      const o = await this.send({ method: 'GET', path: `/machines?${query}limit=${PAGE}` });
+      if (o.kind !== 'answer' || o.status !== 200) return undefined;
+      const page = BoxPage.safeParse(o.body);
+      if (!page.success) return undefined;
+      boxes.push(...page.data.boxes);
+      const last = page.data.boxes.at(-1);
+      if (!page.data.has_next || !last) return boxes;
+      from = last.name_id;
+    }
+  }
+}
--- /dev/null
+++ b/src/config/settings.ts
@@ -0,0 +1,195 @@
+import { readFileSync } from 'node:fs';
+import { z } from 'zod';
+import { Endpoint, NodeId, ms, seconds, type DurationMs } from '../units/index.js';
+
+/** The file that the platform hands over. Fields it does not know are ignored. */
+const address = z
+  .string()
+  .regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'must be an IPv4 address with a port');
+const positive = z.number().finite().positive();
+const limit = z.number().finite().nonnegative();
+
+const File = z.object({
+  node: z.string().min(1),
+  area: z.string(),
+  api_addr: address,
+  cluster_listen: address,
+  others: z.array(z.object({ node: z.string().min(1), area: z.string(), endpoint: address })),
+  endpoints: z.object({ cloud: address, state: address }),
+  params: z.object({
+    nodes: z.number().int().positive(),
+    zones: z.array(z.string()).min(1),
+    teams: z.array(
+      z.object({
+        name: z.string().min(1),
+        cpus: limit.nullish().transform((v) => v ?? 0),
+        cpus_max: limit.nullish().transform((v) => v ?? 0),
+        gpus: limit.nullish().transform((v) => v ?? 0),
+        gpus_max: limit.nullish().transform((v) => v ?? 0),
+      }),
+    ),
+    objectives: z
+      .array(
+        z.looseObject({
+          kind: z.string(),
+          class: z.string().nullish(),
+          share: z.number().nullish(),
+          within_s: z.number().nullish(),
+          times: z.number().nullish(),
+        }),
+      )
+      .nullish()
+      .transform((v) => v ?? []),
+    workers: z.object({ report_s: positive, lease_s: positive, cancel_s: positive }),
+    state: z.object({
+      rps: positive,
+      write_rps: positive,
+      value_kb: positive,
+      txn_ops: z.number().int().min(2),
+    }),
+    cloud: z.object({ rps: positive, list_lag_s: limit }),
+    limits: z.object({
+      cpu: positive,
+      ram_mb: positive,
+      max_connections: z.number().int().min(32),
+    }),
+    time_bound_ms: limit,
+  }),
+});
+
+export interface Team {
+  readonly name: string;
+  readonly cpus: number;
+  readonly cpusMax: number;
+  readonly gpus: number;
+  readonly gpusMax: number;
+}
+
+export interface Objective {
+  readonly kind: string;
+  readonly docket: string | undefined;
+  readonly within: DurationMs | undefined;
+}
+
+export interface Settings {
+  readonly node: NodeId;
+  readonly area: string;
+  readonly api: Endpoint;
+  readonly cluster: Endpoint;
+  readonly others: readonly { node: NodeId; area: string; endpoint: Endpoint }[];
+  readonly cloudAt: Endpoint;
+  readonly stateAt: Endpoint;
+  readonly nodes: number;
+  readonly zones: readonly string[];
+  readonly teams: ReadonlyMap<string, Team>;
+  readonly objectives: readonly Objective[];
+  readonly workers: {
+    readonly report: DurationMs;
+    readonly lease: DurationMs;
+    readonly cancel: DurationMs;
+  };
+  readonly state: {
+    readonly rps: number;
+    readonly writeRps: number;
+    readonly valueBytes: number;
+    readonly txnOps: number;
+  };
+  readonly cloud: { readonly rps: number; readonly listLag: DurationMs };
+  readonly limits: {
+    readonly cpu: number;
+    readonly ramMb: number;
+    readonly maxConnections: number;
+  };
+  readonly timeBound: DurationMs;
+}
+
+/** What is wrong with a settings file, in one line that names the field. */
+export class SettingsError extends Error {}
+
+export function parseSettings(json: unknown): Settings {
+  const parsed = File.safeParse(json);
+  if (!parsed.success) {
+    const issue = parsed.error.issues[0];
+    throw new SettingsError(
+      `settings: ${issue?.path.join('.') || 'file'}: ${issue?.message ?? 'invalid'}`,
+    );
+  }
+  const f = parsed.data;
+  const names = [f.node, ...f.others.map((o) => o.node)];
+  if (new Set(names).size !== names.length) {
+    throw new SettingsError('settings: others: a node is named twice, or names this node');
+  }
+  if (f.params.nodes !== names.length) {
+    throw new SettingsError(
+      `settings: params.nodes: says ${f.params.nodes}, but node and others name ${names.length}`,
+    );
+  }
+  if (f.api_addr === f.cluster_listen) {
+    throw new SettingsError('settings: cluster_listen: is the same address as api_addr');
+  }
+  for (const t of f.params.teams) {
+    if ((t.cpus_max > 0 && t.cpus > t.cpus_max) || (t.gpus_max > 0 && t.gpus > t.gpus_max)) {
+      throw new SettingsError(`settings: params.teams: ${t.name} is guaranteed more than its limit`);
+    }
+  }
+  const w = f.params.workers;
+  if (w.cancel_s <= w.lease_s) {
+    throw new SettingsError('settings: params.workers.cancel_s: must exceed lease_s');
+  }
+  return {
+    node: NodeId(f.node),
+    area: f.area,
+    api: Endpoint(f.api_addr),
+    cluster: Endpoint(f.cluster_listen),
+    others: f.others.map((o) => ({
+      node: NodeId(o.node),
+      area: o.area,
+      endpoint: Endpoint(o.endpoint),
+    })),
+    cloudAt: Endpoint(f.endpoints.cloud),
+    stateAt: Endpoint(f.endpoints.state),
+    nodes: f.params.nodes,
+    zones: f.params.zones,
+    teams: new Map(
+      f.params.teams.map((t) => [
+        t.name,
+        { name: t.name, cpus: t.cpus, cpusMax: t.cpus_max, gpus: t.gpus, gpusMax: t.gpus_max },
+      ]),
+    ),
+    objectives: f.params.objectives.map((o) => ({
+      kind: o.kind,
+      docket: o.class ?? undefined,
+      within: o.within_s === null || o.within_s === undefined ? undefined : seconds(o.within_s),
+    })),
+    workers: { report: seconds(w.report_s), lease: seconds(w.lease_s), cancel: seconds(w.cancel_s) },
+    state: {
+      rps: f.params.state.rps,
+      writeRps: f.params.state.write_rps,
+      valueBytes: Math.floor(f.params.state.value_kb * 1024),
+      txnOps: f.params.state.txn_ops,
+    },
+    cloud: { rps: f.params.cloud.rps, listLag: seconds(f.params.cloud.list_lag_s) },
+    limits: {
+      cpu: f.params.limits.cpu,
+      ramMb: f.params.limits.ram_mb,
+      maxConnections: f.params.limits.max_connections,
+    },
+    timeBound: ms(f.params.time_bound_ms),
+  };
+}
+
+export function readSettings(path: string): Settings {
+  let text: string;
+  try {
+    text = readFileSync(path, 'utf8');
+  } catch (e) {
+    throw new SettingsError(`settings: cannot read ${path}: ${(e as Error).message}`);
+  }
+  let json: unknown;
+  try {
+    json = JSON.parse(text);
+  } catch (e) {
+    throw new SettingsError(`settings: ${path} is not JSON: ${(e as Error).message}`);
+  }
+  return parseSettings(json);
+}
--- /dev/null
+++ b/src/ledger/front.ts
@@ -0,0 +1,129 @@
+import type { StoreClient } from '../store/client.js';
+import {
+  Epoch,
+  JobId,
+  Revision,
+  ms,
+  type Clock,
+} from '../units/index.js';
+import type { JobSpec } from '../wire/index.js';
+import { decodeFinal, decodeJob, doneKey, encodeJob, encodeFinal, liveKey } from './codec.js';
+import { Job, type Final } from './job.js';
+import { LEADER_KEY } from './ledger.js';
+
+const NOTICES = 'inbox/';
+const TIMEOUT = ms(1500);
+const WATCH = ms(10_000);
+
+export type Held =
+  | { kind: 'live'; job: Job }
+  | { kind: 'final'; final: Final }
+  | { kind: 'absent' }
+  | { kind: 'unsure' };
+
+/**
+ * What any node may do with the store itself, without being leader: look a job up, take a job in
+ * that is not there yet, and cancel one while there is no leader at all.
+ */
+export class StoreFront {
+  constructor(
+    private readonly store: StoreClient,
+    private readonly clock: Clock,
+  ) {}
+
+  /**
+   * A job by the store's word. A live record only ever moves to a final one, so what is found
+   * absent in this order was absent; the first request alone settles ids that nobody submitted.
+   */
+  async lookup(id: JobId): Promise<Held> {
+    const none = await this.store.multi(
+      [
+        { key: liveKey(id), stamp: 0 },
+        { key: doneKey(id), stamp: 0 },
+      ],
+      [],
+      TIMEOUT,
+    );
+    if (none.kind === 'committed') return { kind: 'absent' };
+    if (none.kind !== 'conflict') return { kind: 'unsure' };
+    if (!none.failed.includes(doneKey(id))) {
+      const live = await this.store.get(liveKey(id), TIMEOUT);
+      if (live.kind === 'found') {
+        return { kind: 'live', job: decodeJob(id, live.data, live.stamp, this.clock.steady()) };
+      }
+      if (live.kind === 'failed') return { kind: 'unsure' };
+    }
+    const done = await this.store.get(doneKey(id), TIMEOUT);
+    return done.kind === 'found'
+      ? { kind: 'final', final: decodeFinal(done.data) }
+      : { kind: 'unsure' };
+  }
+
+  /**
+   * The exception to intake through the leader: the job is committed by this node, if it is in no
+   * record, together with a notice for the leader. It can take nothing back that a leader said.
+   */
+  async create(spec: JobSpec): Promise<'created' | 'exists' | 'unsure'> {
+    const id = JobId(spec.name_id);
+    const job = new Job(id, spec, this.clock.wall(), Revision(0));
+    const result = await this.store.multi(
+      [
+        { key: liveKey(id), stamp: 0 },
+        { key: doneKey(id), stamp: 0 },
+      ],
+      [
+        { put: liveKey(id), data: encodeJob(job, Epoch(0)) },
+        { put: this.noticeKey(id), data: {} },
+      ],
+      TIMEOUT,
+    );
+    if (result.kind === 'committed') return 'created';
+    return result.kind === 'conflict' ? 'exists' : 'unsure';
+  }
+
+  /**
+   * Cancels while no leader exists. The condition that the leader key is absent protects readers:
+   * a leader answers from memory, and must never call running what somebody was told is cancelled.
+   */
+  async abort(id: JobId): Promise<Held> {
+    const held = await this.lookup(id);
+    if (held.kind !== 'live' || held.job.aborted) return held;
+    const { job } = held;
+    job.abort();
+    const conditions = [
+      { key: LEADER_KEY, stamp: 0 },
+      { key: liveKey(id), stamp: job.revision },
+    ];
+    const result = job.settled
+      ? await this.store.multi(
+          [...conditions, { key: doneKey(id), stamp: 0 }],
+          [{ put: doneKey(id), data: encodeFinal(job.final()) }, { delete: liveKey(id) }],
+          TIMEOUT,
+        )
+      : await this.store.multi(
+          conditions,
+          [{ put: liveKey(id), data: encodeJob(job, Epoch(0)) }],
+          TIMEOUT,
+        );
+    if (result.kind !== 'committed') return { kind: 'unsure' };
+    return job.settled ? { kind: 'final', final: job.final() } : held;
+  }
+
+  noticeKey(id: JobId): string {
+    return `${NOTICES}${id}`;
+  }
+
+  async notices(): Promise<{ ids: JobId[]; revision: Revision } | undefined> {
+    const listed = await this.store.list(NOTICES, TIMEOUT);
+    if (!listed) return undefined;
+    return {
+      ids: listed.items.map((i) => JobId(i.key.slice(NOTICES.length))),
+      revision: listed.revision,
+    };
+  }
+
+  /** Waits for a further notice; false if that could not be done. */
+  async followNotices(from: Revision): Promise<boolean> {
+    return (await this.store.follow(NOTICES, from, WATCH)) !== undefined;
+  }
+}
--- /dev/null
+++ b/src/ledger/job.ts
@@ -0,0 +1,165 @@
+import type { JobSpec, JobStatus } from '../wire/index.js';
+import {
+  Attempt,
+  type JobId,
+  type MachineId,
+  type Revision,
+  type SteadyMs,
+  type WallMs,
+} from '../units/index.js';
+import { Ranges } from './ranges.js';
+
+/** Where a task is, or may be. It stays until there is proof that it is gone. */
+export interface Placement {
+  readonly machine: MachineId;
+  readonly attempt: Attempt;
+  /** The job's version that made it: its start may leave once that version is committed. */
+  readonly version: number;
+  /** Made by an earlier leader, which may have sent starts that we know nothing of. */
+  readonly inherited: boolean;
+  readonly at: SteadyMs;
+  /** The report whose answer last carried the start. */
+  sent?: { readonly shift: number; readonly tally: number };
+  /** A report has shown it. */
+  seen: boolean;
+  /** Its start, or its stop, has been sent straight to the worker. */
+  pushed: boolean;
+  stopped: boolean;
+}
+
+export interface Shown {
+  readonly aborted: boolean;
+  readonly done: number;
+  readonly running: number;
+}
+
+/** What remains of a job for good. */
+export interface Final {
+  readonly status: 'done' | 'aborted';
+  readonly entries: number;
+  readonly done: number;
+  readonly desk: string;
+  readonly cause: string;
+}
+
+/** How soon a change of a record has to be written, most urgent first. */
+export const Press = { intake: 0, place: 1, finish: 2, progress: 3, none: 4 } as const;
+export type Press = (typeof Press)[keyof typeof Press];
+
+/** A live job: its tasks are waiting, placed or, if neither, done. */
+export class Job {
+  aborted = false;
+  readonly waiting: Ranges;
+  readonly placed = new Map<number, Placement>();
+  nextAttempt = Attempt(1);
+  /** The zone of a job that must be in one. */
+  zone: string | undefined;
+
+  /** Rises with each change in memory; what is committed lags behind. */
+  version = 1;
+  committed = 0;
+  revision: Revision;
+  inFlight = false;
+  /** The write under way makes it cancelled or final: others may already read that in the store. */
+  turning = false;
+  press: Press = Press.none;
+  shown: Shown = { aborted: false, done: 0, running: 0 };
+  /** A creation whose outcome is unknown must be tried until it is known. */
+  doubtful = false;
+
+  /** Trouble seen: machines on which its tasks failed, and until when it is held back. */
+  readonly faultyOn = new Set<MachineId>();
+  heldUntil = 0 as SteadyMs;
+  holds = 0;
+
+  constructor(
+    readonly id: JobId,
+    readonly spec: JobSpec,
+    readonly submitted: WallMs,
+    revision: Revision,
+    waiting?: Ranges,
+  ) {
+    this.revision = revision;
+    this.waiting = waiting ?? Ranges.of([[0, spec.entries]]);
+  }
+
+  get doneCount(): number {
+    return this.spec.entries - this.waiting.size - this.placed.size;
+  }
+
+  /** Nothing waits or may run, so it can be moved to its final record. */
+  get settled(): boolean {
+    return this.placed.size === 0 && (this.aborted || this.waiting.size === 0);
+  }
+
+  isDone(index: number): boolean {
+    return index < this.spec.entries && !this.waiting.has(index) && !this.placed.has(index);
+  }
+
+  touch(press: Press): void {
+    this.version++;
+    if (press < this.press) this.press = press;
+  }
+
+  /** Places tasks in one new version under one new attempt. */
+  place(tasks: readonly { index: number; machine: MachineId }[], now: SteadyMs): void {
+    const attempt = this.nextAttempt;
+    this.nextAttempt = Attempt(attempt + 1);
+    this.touch(Press.place);
+    for (const { index, machine } of tasks) {
+      if (!this.waiting.remove(index)) throw new Error(`${this.id}/${index} is not waiting`);
+      this.placed.set(index, {
+        machine,
+        attempt,
+        version: this.version,
+        inherited: false,
+        at: now,
+        seen: false,
+        pushed: false,
+        stopped: false,
+      });
+    }
+  }
+
+  /** Tasks that are not done below the highest placed one: what makes a record grow. */
+  get open(): number {
+    const tail = this.waiting.last();
+    const beyond = tail && tail[1] === this.spec.entries ? tail[1] - tail[0] : 0;
+    return this.placed.size + this.waiting.size - beyond;
+  }
+
+  /** The task is proven to be on no machine: it waits again. */
+  unplace(index: number): void {
+    if (!this.placed.delete(index)) return;
+    this.waiting.add(index);
+    this.touch(this.aborted ? Press.finish : Press.progress);
+  }
+
+  finish(index: number): void {
+    if (!this.placed.delete(index)) this.waiting.remove(index);
+    this.touch(this.waiting.size + this.placed.size === 0 ? Press.finish : Press.progress);
+  }
+
+  abort(): void {
+    if (this.aborted) return;
+    this.aborted = true;
+    this.touch(Press.intake);
+  }
+
+  final(): Final {
+    return {
+      status: this.aborted ? 'aborted' : 'done',
+      entries: this.spec.entries,
+      done: this.doneCount,
+      desk: this.spec.desk,
+      cause: this.aborted ? 'cancelled by its user' : 'all tasks done',
+    };
+  }
+}
+
+export function statusOf(shown: Shown, entries: number): JobStatus {
+  if (shown.aborted) return 'aborted';
+  if (shown.done >= entries) return 'done';
+  return shown.running > 0 ? 'running' : 'pending';
+}
+
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,85 @@
+#!/usr/bin/env node
+import { randomUUID, randomInt } from 'node:crypto';
+import http from 'node:http';
+import { destination, pino, stdTimeFunctions } from 'pino';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { createApp } from './api/app.js';
+import { parseCommandLine } from './cli/cli.js';
+import { defaultOperator, type OperatorSettings } from './config/operator.js';
+import type { Settings } from './config/settings.js';
+import { NodeHttpClient } from './net/http.js';
+import { Controller } from './node.js';
+import { PeerLink, servePeers } from './peer/channel.js';
+import { systemClock } from './units/system.js';
+import type { Endpoint, NodeId } from './units/index.js';
+
+const KEEP_ALIVE_MS = 120_000;
+/** Sockets kept for our own calls: store, cloud, machines, the other nodes. */
+const OWN_SOCKETS = 160;
+
+function listenOn(server: { listen(port: number, host: string): unknown }, at: Endpoint): void {
+  const cut = at.lastIndexOf(':');
+  server.listen(Number(at.slice(cut + 1)), at.slice(0, cut));
+}
+
+function run(settings: Settings, operator: OperatorSettings): void {
+  const levels = ['error', 'warn', 'info', 'debug'];
+  const level = process.env['LOG_LEVEL'] ?? 'info';
+  const log = pino(
+    {
+      level: levels.includes(level) ? level : 'info',
+      base: { node: settings.node },
+      formatters: { level: (label) => ({ level: label }) },
+      timestamp: stdTimeFunctions.isoTime,
+    },
+    // Synchronous: what a killed process was about to say is then already written.
+    destination({ dest: 2, sync: true }),
+  );
+  // An error that nothing caught must not end the service; its state is rebuilt from records.
+  process.on('uncaughtException', (e) => log.error({ err: e }, 'uncaught error'));
+  process.on('unhandledRejection', (e) => log.error({ err: e }, 'unhandled rejection'));
+
+  const generator = xoroshiro128plus(randomInt(0x7fffffff));
+  const random = (): number => uniformFloat64(generator);
+  const links = new Map<NodeId, PeerLink>(
+    settings.others.map((o) => [o.node, new PeerLink(o.endpoint, systemClock, log)]),
+  );
+  const controller = new Controller(settings, operator, {
+    clock: systemClock,
+    random,
+    http: new NodeHttpClient(8, 4),
+    log,
+    peers: links,
+    run: randomUUID(),
+  });
+
+  const api = http.createServer(
+    { keepAliveTimeout: KEEP_ALIVE_MS, headersTimeout: 15_000, requestTimeout: 30_000 },
+    // koa answers all its errors itself.
+    createApp(controller.service, log).callback() as http.RequestListener,
+  );
+  api.maxConnections = Math.max(16, settings.limits.maxConnections - OWN_SOCKETS);
+  const peers = servePeers((request) => controller.service.peer(request), log);
+  const failed = (what: string) => (e: Error) => {
+    log.error({ err: e }, `${what} failed`);
+    setTimeout(() => open(), 500);
+  };
+  const open = (): void => {
+    if (!api.listening) listenOn(api, settings.api);
+    if (!peers.listening) listenOn(peers, settings.cluster);
+  };
+  api.on('error', failed('listening for users and workers'));
+  peers.on('error', failed('listening for the other nodes'));
+  open();
+  for (const link of links.values()) link.start();
+  controller.start();
+  log.info({ area: settings.area }, 'started');
+}
+
+const start = await parseCommandLine(process.argv.slice(2));
+if (start.kind === 'exit') {
+  if (start.out) process.stdout.write(start.out);
+  if (start.err) process.stderr.write(start.err);
+  process.exitCode = start.code;
+} else run(start.settings, start.operator ?? defaultOperator);
--- /dev/null
+++ b/src/net/http.ts
@@ -0,0 +1,132 @@
+import http from 'node:http';
+import { pipeline } from 'node:stream/promises';
+import { Writable } from 'node:stream';
+import type { DurationMs, Endpoint } from '../units/index.js';
+import { CONTENT_TYPE, decode, encode } from '../wire/index.js';
+
+export interface Request {
+  readonly endpoint: Endpoint;
+  readonly method: 'GET' | 'POST' | 'DELETE';
+  readonly path: string;
+  readonly body?: unknown;
+  readonly timeout: DurationMs;
+}
+
+/**
+ * `undelivered`: the connection was never made, so the request cannot have been carried out.
+ * `unknown`: it was sent, or may have been; it may still be carried out at any later time.
+ */
+export type Outcome =
+  | { readonly kind: 'answer'; readonly status: number; readonly body: unknown }
+  | { readonly kind: 'undelivered'; readonly why: string }
+  | { readonly kind: 'unknown'; readonly why: string };
+
+export interface HttpClient {
+  send(request: Request): Promise<Outcome>;
+}
+
+/**
+ * Gathers a body of at most `limit` bytes. What goes beyond is read and dropped, so that the sender
+ * can still be told; a body many times too long ends the stream.
+ */
+export class Gather extends Writable {
+  private readonly parts: Buffer[] = [];
+  private size = 0;
+
+  constructor(private readonly limit: number) {
+    super();
+  }
+
+  get overflow(): boolean {
+    return this.size > this.limit;
+  }
+
+  override _write(chunk: Buffer, _encoding: string, done: (e?: Error) => void): void {
+    this.size += chunk.length;
+    if (this.size > 16 * this.limit) {
+      done(new RangeError('body far too large'));
+      return;
+    }
+    if (this.overflow) this.parts.length = 0;
+    else this.parts.push(chunk);
+    done();
+  }
+
+  body(): Buffer {
+    return this.parts.length === 1 ? (this.parts[0] as Buffer) : Buffer.concat(this.parts);
+  }
+}
+
+/** A watch's answer holds all changes and has no size limit; this bounds what we would hold. */
+const MAX_ANSWER = 4 * 1024 * 1024;
+
+/** HTTP with CBOR bodies over kept connections. */
+export class NodeHttpClient implements HttpClient {
+  private readonly agent: http.Agent;
+
+  constructor(maxSocketsPerHost: number, maxIdle: number) {
+    this.agent = new http.Agent({
+      keepAlive: true,
+      maxSockets: maxSocketsPerHost,
+      maxFreeSockets: maxIdle,
+      scheduling: 'lifo',
+    });
+  }
+
+  send(request: Request): Promise<Outcome> {
+    return new Promise((resolve) => {
+      const cut = request.endpoint.lastIndexOf(':');
+      let connected = false;
+      let settled = false;
+      const settle = (outcome: Outcome): void => {
+        if (settled) return;
+        settled = true;
+        clearTimeout(timer);
+        resolve(outcome);
+      };
+      const lost = (why: string): void =>
+        settle(connected ? { kind: 'unknown', why } : { kind: 'undelivered', why });
+      const bytes = request.body === undefined ? undefined : encode(request.body);
+      const req = http.request({
+        host: request.endpoint.slice(0, cut),
+        port: Number(request.endpoint.slice(cut + 1)),
+        method: request.method,
+        path: request.path,
+        agent: this.agent,
+        headers: bytes
+          ? { 'content-type': CONTENT_TYPE, 'content-length': bytes.length }
+          : { accept: CONTENT_TYPE },
+      });
+      const timer = setTimeout(() => {
+        lost('no answer in time');
+        req.destroy();
+      }, request.timeout);
+      req.on('socket', (socket) => {
+        // A kept connection is connected already. Until a new one is, nothing can have left.
+        if (socket.connecting) socket.once('connect', () => (connected = true));
+        else connected = true;
+      });
+      req.on('error', (e) => lost(e.message));
+      req.on('response', (res) => {
+        const gather = new Gather(MAX_ANSWER);
+        pipeline(res, gather).then(
+          () => {
+            const body = gather.body();
+            try {
+              if (gather.overflow) throw new RangeError('answer too large');
+              settle({
+                kind: 'answer',
+                status: res.statusCode ?? 0,
+                body: body.length > 0 ? decode(body) : undefined,
+              });
+            } catch {
+              lost('unreadable answer');
+            }
+          },
+          (e: Error) => lost(e.message),
+        );
+      });
+      req.end(bytes);
+    });
+  }
+}
--- /dev/null
+++ b/src/node.ts
@@ -0,0 +1,132 @@
+import type { Logger } from 'pino';
+import type { OperatorSettings } from './config/operator.js';
+import type { Settings } from './config/settings.js';
+import { Service } from './api/service.js';
+import { Catalog } from './cloud/catalog.js';
+import { CloudClient } from './cloud/client.js';
+import { StoreFront } from './ledger/front.js';
+import { Election } from './leader/election.js';
+import { Term } from './leader/term.js';
+import type { HttpClient } from './net/http.js';
+import type { Peer } from './peer/channel.js';
+import { StoreClient } from './store/client.js';
+import { ms, seconds, sleep, type Clock, type NodeId, type Random } from './units/index.js';
+
+const CATALOG_KEY = 'catalog';
+const CATALOG_EVERY = seconds(60);
+const STORE_TIMEOUT = ms(2000);
+
+export interface World {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly http: HttpClient;
+  readonly log: Logger;
+  readonly peers: ReadonlyMap<NodeId, Peer>;
+  /** Names this process among those that have run on this node. */
+  readonly run: string;
+}
+
+/** One controller: everything but the sockets it listens on, so that tests can drive it. */
+export class Controller {
+  readonly service: Service;
+  readonly election: Election;
+  private readonly store: StoreClient;
+  private readonly catalog = new Catalog();
+  private term: Term | undefined;
+  private stopped = false;
+
+  constructor(
+    settings: Settings,
+    operator: OperatorSettings,
+    private readonly world: World,
+  ) {
+    const { clock, random, http, log } = world;
+    this.store = new StoreClient(
+      http,
+      settings.stateAt,
+      clock,
+      random,
+      { rps: settings.state.rps, writeRps: settings.state.writeRps },
+      settings.nodes,
+    );
+    const front = new StoreFront(this.store, clock);
+    const cloud = new CloudClient(http, settings.cloudAt, clock, settings.cloud.rps);
+    this.election = new Election(
+      this.store,
+      settings.node,
+      world.run,
+      { lease: operator.lease, renew: operator.renew },
+      clock,
+      random,
+      log,
+      {
+        gained: (epoch) => {
+          const term = new Term(epoch, {
+            settings,
+            operator,
+            store: this.store,
+            front,
+            cloud,
+            http,
+            catalog: this.catalog,
+            clock,
+            random,
+            log: log.child({ epoch }),
+            authority: () => this.election.authority(),
+            deposed: (e) => this.election.deposed(e),
+          });
+          term.capacity.onCatalog = () => void this.keepCatalog();
+          this.term = term;
+          this.service.term = term;
+          void term.start().catch((e: unknown) => log.error({ err: e }, 'rebuild failed'));
+        },
+        lost: () => {
+          this.term?.close();
+          this.term = undefined;
+          this.service.term = undefined;
+        },
+      },
+    );
+    this.service = new Service(
+      settings,
+      this.election,
+      front,
+      this.catalog,
+      world.peers,
+      clock,
+      log,
+    );
+  }
+
+  start(): void {
+    void this.election.serve();
+    void this.readCatalog();
+  }
+
+  /** For tests: what a killed process no longer does. */
+  stop(): void {
+    this.stopped = true;
+    this.election.stop();
+    this.term?.close();
+  }
+
+  /** The types as the leader last kept them, so that this node can judge submissions. */
+  private async readCatalog(): Promise<void> {
+    while (!this.stopped) {
+      const pause = this.catalog.known ? CATALOG_EVERY : ms(1000);
+      if (!this.term) {
+        const read = await this.store.get(CATALOG_KEY, STORE_TIMEOUT);
+        if (read.kind === 'found' && !this.term) this.catalog.restore(read.data);
+      }
+      await sleep(this.world.clock, pause);
+    }
+  }
+
+  private async keepCatalog(): Promise<void> {
+    await this.store.multi(
+      [],
+      [{ put: CATALOG_KEY, data: this.catalog.keep() }],
+      STORE_TIMEOUT,
+    );
+  }
+}
--- /dev/null
+++ b/src/placer/placer.ts
@@ -0,0 +1,153 @@
+import type { JobId, MachineId } from '../units/index.js';
+
+/**
+ * Where waiting tasks go. Pure and deterministic: what may be on a machine counts as there, jobs
+ * are taken in the order given, and each task goes to a machine that holds its image, else to the
+ * one that will have it first, else to the freest.
+ */
+export interface Size {
+  readonly cpus: number;
+  readonly gpus: number;
+  readonly ramGb: number;
+}
+
+export interface Host {
+  readonly id: MachineId;
+  readonly build: string;
+  readonly hall: string;
+  readonly spot: boolean;
+  readonly total: Size;
+  readonly free: Size;
+  readonly fetchGbPerS: number;
+  readonly holds: (image: string) => boolean;
+  /** Images under way to it. */
+  readonly fetching: ReadonlySet<string>;
+}
+
+export interface Want {
+  readonly id: JobId;
+  readonly team: string;
+  readonly size: Size;
+  readonly image: string;
+  readonly imageGb: number;
+  readonly builds: readonly string[] | null;
+  readonly hall: string | null;
+  readonly spot: boolean;
+  readonly together: boolean;
+  /** The zone that a job kept together is bound to. */
+  readonly zone: string | undefined;
+  /** The most of its tasks that may be in one zone. */
+  readonly perZone: number;
+  /** Its tasks that may be on machines, by zone. */
+  readonly inZone: ReadonlyMap<string, number>;
+  /** The waiting tasks that may be placed now, lowest index first. */
+  readonly indexes: Iterable<number>;
+  /** Machines it must not go to. */
+  readonly avoid: ReadonlySet<MachineId>;
+}
+
+export interface TeamRoom {
+  cpus: number;
+  gpus: number;
+}
+
+export interface Assignment {
+  readonly job: JobId;
+  readonly index: number;
+  readonly machine: MachineId;
+}
+
+interface Slot {
+  readonly host: Host;
+  cpus: number;
+  gpus: number;
+  ramGb: number;
+  readonly coming: Set<string>;
+}
+
+const EPS = 1e-6;
+
+export const fits = (size: Size, room: Size): boolean =>
+  size.cpus <= room.cpus + EPS && size.gpus <= room.gpus + EPS && size.ramGb <= room.ramGb + EPS;
+
+export function allows(
+  want: Pick<Want, 'builds' | 'hall' | 'spot'>,
+  host: Pick<Host, 'build' | 'hall' | 'spot'>,
+): boolean {
+  return (
+    (want.builds === null || want.builds.includes(host.build)) &&
+    (want.hall === null || want.hall === host.hall) &&
+    (want.spot || !host.spot)
+  );
+}
+
+/** Seconds until the image would be there; machines within the same few seconds count alike. */
+function delay(want: Want, slot: Slot): number {
+  if (slot.host.holds(want.image)) return 0;
+  if (slot.coming.has(want.image)) return 1;
+  const s = (want.imageGb / slot.host.fetchGbPerS) * (1 + slot.coming.size);
+  return 1 + Math.ceil(s / 2);
+}
+
+export function place(
+  wants: readonly Want[],
+  hosts: readonly Host[],
+  teams: ReadonlyMap<string, TeamRoom>,
+  most: number,
+): Assignment[] {
+  const slots: Slot[] = hosts.map((host) => ({
+    host,
+    cpus: host.free.cpus,
+    gpus: host.free.gpus,
+    ramGb: host.free.ramGb,
+    coming: new Set(host.fetching),
+  }));
+  const out: Assignment[] = [];
+  for (const want of wants) {
+    if (out.length >= most) break;
+    const allowed = slots.filter(
+      (s) => allows(want, s.host) && !want.avoid.has(s.host.id) && fits(want.size, s),
+    );
+    if (allowed.length === 0) continue;
+    const room = teams.get(want.team);
+    const inZone = new Map(want.inZone);
+    let zone = want.zone;
+    for (const index of want.indexes) {
+      if (out.length >= most) break;
+      // A task that would take its team over the limit must not start, whatever is free.
+      if (room && (want.size.cpus > room.cpus + EPS || want.size.gpus > room.gpus + EPS)) break;
+      let best: Slot | undefined;
+      let bestDelay = 0;
+      for (const slot of allowed) {
+        if (!fits(want.size, slot)) continue;
+        if (want.together && zone !== undefined && slot.host.hall !== zone) continue;
+        if ((inZone.get(slot.host.hall) ?? 0) >= want.perZone) continue;
+        const d = delay(want, slot);
+        if (!best || d < bestDelay || (d === bestDelay && better(slot, best))) {
+          best = slot;
+          bestDelay = d;
+        }
+      }
+      if (!best) break;
+      best.cpus -= want.size.cpus;
+      best.gpus -= want.size.gpus;
+      best.ramGb -= want.size.ramGb;
+      if (!best.host.holds(want.image)) best.coming.add(want.image);
+      if (room) {
+        room.cpus -= want.size.cpus;
+        room.gpus -= want.size.gpus;
+      }
+      if (want.together) zone = best.host.hall;
+      inZone.set(best.host.hall, (inZone.get(best.host.hall) ?? 0) + 1);
+      out.push({ job: want.id, index, machine: best.host.id });
+    }
+  }
+  return out;
+}
+
+/** Among equals: the smaller type, so that the large ones stay whole for large tasks; then the freest. */
+function better(a: Slot, b: Slot): boolean {
+  if (a.host.total.cpus !== b.host.total.cpus) return a.host.total.cpus < b.host.total.cpus;
+  if (a.cpus !== b.cpus) return a.cpus > b.cpus;
+  return a.host.id < b.host.id;
+}
--- /dev/null
+++ b/src/store/budget.ts
@@ -0,0 +1,78 @@
+import { SteadyMs, later, ms, type Clock, type DurationMs } from '../units/index.js';
+
+/** A token bucket: `rate` a second, bursts of `burst`. May go into debt by `spend`. */
+export class Bucket {
+  private tokens: number;
+  private at: SteadyMs;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly rate: number,
+    private readonly burst: number,
+  ) {
+    this.tokens = burst;
+    this.at = clock.steady();
+  }
+
+  private refill(): void {
+    const now = this.clock.steady();
+    this.tokens = Math.min(this.burst, this.tokens + ((now - this.at) / 1000) * this.rate);
+    this.at = now;
+  }
+
+  /** Takes `n` if they are there. A single request above the burst passes on a full bucket. */
+  tryTake(n: number): boolean {
+    this.refill();
+    if (this.tokens < Math.min(n, this.burst)) return false;
+    this.tokens -= n;
+    return true;
+  }
+
+  /** Takes `n` whether they are there or not: for what must not wait, such as a renewal. */
+  spend(n: number): void {
+    this.refill();
+    this.tokens -= n;
+  }
+
+  /** How long until `n` will be there. */
+  wait(n: number): DurationMs {
+    this.refill();
+    const missing = Math.min(n, this.burst) - this.tokens;
+    return ms(missing <= 0 ? 0 : Math.ceil((missing / this.rate) * 1000) + 1);
+  }
+
+  /** The other side said we are too fast, so its count is ahead of ours: start from nothing. */
+  drain(): void {
+    this.refill();
+    this.tokens = Math.min(this.tokens, 0);
+  }
+}
+
+/** Pauses that grow while something keeps failing, spread so that nodes do not fall in step. */
+export class Backoff {
+  private next: DurationMs;
+  private until: SteadyMs = SteadyMs(0);
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly random: () => number,
+    private readonly least: DurationMs,
+    private readonly most: DurationMs,
+  ) {
+    this.next = least;
+  }
+
+  failed(): void {
+    this.until = later(this.clock.steady(), ms(this.next * (0.75 + 0.5 * this.random())));
+    this.next = ms(Math.min(this.most, this.next * 2));
+  }
+
+  worked(): void {
+    this.next = this.least;
+    this.until = SteadyMs(0);
+  }
+
+  remaining(): DurationMs {
+    return ms(Math.max(0, this.until - this.clock.steady()));
+  }
+}
--- /dev/null
+++ b/src/store/client.ts
@@ -0,0 +1,228 @@
+import type { HttpClient, Outcome, Request } from '../net/http.js';
+import { Bucket } from './budget.js';
+import {
+  Revision,
+  ms,
+  sleep,
+  type Clock,
+  type DurationMs,
+  type Endpoint,
+  type Random,
+} from '../units/index.js';
+import {
+  Committed,
+  Found,
+  Leased,
+  Log,
+  Page,
+  Refused,
+  type Condition,
+  type Write,
+} from '../wire/index.js';
+
+export type Read =
+  | { kind: 'found'; data: unknown; stamp: Revision; tenure: number | undefined }
+  | { kind: 'absent' }
+  | { kind: 'failed'; why: string };
+
+/** `refused`: surely not carried out. `unknown`: reread before believing anything. */
+export type Commit =
+  | { kind: 'committed'; revision: Revision }
+  | { kind: 'conflict'; failed: readonly string[] }
+  | { kind: 'leaseless' }
+  | { kind: 'refused'; why: string }
+  | { kind: 'unknown'; why: string };
+
+export interface Listed {
+  readonly items: readonly { key: string; data: unknown; stamp: Revision }[];
+  readonly revision: Revision;
+}
+
+export interface Changes {
+  readonly revision: Revision;
+  readonly keys: readonly string[];
+}
+
+export interface StoreLimits {
+  readonly rps: number;
+  readonly writeRps: number;
+}
+
+/** The share of the store's rates that a node takes while it leads, and while it does not. */
+const LEADER_SHARE = 0.7;
+
+/**
+ * The state service. Requests and writes leave under token buckets: all nodes share its rates, and
+ * what it turns away with 429 would cost as much as what it carries out.
+ */
+export class StoreClient {
+  private requests: Bucket;
+  private writes: Bucket;
+
+  constructor(
+    private readonly http: HttpClient,
+    private readonly endpoint: Endpoint,
+    private readonly clock: Clock,
+    private readonly random: Random,
+    private readonly limits: StoreLimits,
+    private readonly nodes: number,
+  ) {
+    this.requests = this.bucket(limits.rps, false);
+    this.writes = this.bucket(limits.writeRps, false);
+  }
+
+  private bucket(rate: number, leading: boolean): Bucket {
+    const others = Math.max(1, this.nodes - 1);
+    const share =
+      this.nodes === 1 ? 0.95 : leading ? LEADER_SHARE : (0.95 - LEADER_SHARE) / others;
+    // A follower may need a handful at once however small its share is.
+    return new Bucket(this.clock, rate * share, Math.max(3, rate * share));
+  }
+
+  /** The leader writes most, so the rates are shared again when leadership changes. */
+  setLeading(leading: boolean): void {
+    this.requests = this.bucket(this.limits.rps, leading);
+    this.writes = this.bucket(this.limits.writeRps, leading);
+  }
+
+  private async send(
+    request: Omit<Request, 'endpoint'>,
+    opts: { urgent?: boolean; writes?: number } = {},
+  ): Promise<Outcome> {
+    const writes = opts.writes ?? 0;
+    if (opts.urgent) {
+      this.requests.spend(1);
+      this.writes.spend(writes);
+    } else {
+      for (;;) {
+        const pause = Math.max(this.requests.wait(1), this.writes.wait(writes));
+        if (pause <= 0 && this.requests.tryTake(1)) {
+          this.writes.spend(writes);
+          break;
+        }
+        await sleep(this.clock, ms(Math.max(1, pause) + this.random() * 5));
+      }
+    }
+    const outcome = await this.http.send({ ...request, endpoint: this.endpoint });
+    if (outcome.kind === 'answer' && outcome.status === 429) {
+      this.requests.drain();
+      if (writes > 0) this.writes.drain();
+    }
+    return outcome;
+  }
+
+  /** How long a transaction of `n` writes would have to wait for its turn. */
+  writeWait(n: number): DurationMs {
+    return ms(Math.max(this.writes.wait(n), this.requests.wait(1)));
+  }
+
+  async get(key: string, timeout: DurationMs, urgent = false): Promise<Read> {
+    const o = await this.send({ method: 'GET', path: `/store/${key}`, timeout }, { urgent });
+    if (o.kind !== 'answer') return { kind: 'failed', why: o.why };
+    if (o.status === 404) return { kind: 'absent' };
+    const body = Found.safeParse(o.body);
+    if (o.status !== 200 || !body.success) return { kind: 'failed', why: `status ${o.status}` };
+    return {
+      kind: 'found',
+      data: body.data.data,
+      stamp: Revision(body.data.stamp),
+      tenure: body.data.tenure ?? undefined,
+    };
+  }
+
+  /** Every key under a prefix, page by page; undefined if a page could not be had. */
+  async list(prefix: string, timeout: DurationMs): Promise<Listed | undefined> {
+    const items: { key: string; data: unknown; stamp: Revision }[] = [];
+    let from: string | undefined;
+    for (;;) {
+      // Keys hold no character that a query would have to escape.
+      const after = from === undefined ? '' : `&from=${from}`;
+      const path = `/store?starts=${prefix}${after}&limit=200`;
+      const o = await this.send({ method: 'GET', path, timeout });
+      if (o.kind !== 'answer' || o.status !== 200) return undefined;
+      const page = Page.safeParse(o.body);
+      if (!page.success) return undefined;
+      for (const i of page.data.items) {
+        items.push({ key: i.key, data: i.data, stamp: Revision(i.stamp) });
+      }
+      const last = page.data.items.at(-1);
+      if (!page.data.has_next || !last) {
+        return { items, revision: Revision(page.data.ledger_rev) };
+      }
+      from = last.key;
+    }
+  }
+
+  async multi(
+    conditions: readonly Condition[],
+    writes: readonly Write[],
+    timeout: DurationMs,
+    urgent = false,
+  ): Promise<Commit> {
+    const o = await this.send(
+      { method: 'POST', path: '/multi', body: { if: conditions, writes }, timeout },
+      { writes: writes.length, urgent },
+    );
+    if (o.kind === 'unknown') return { kind: 'unknown', why: o.why };
+    if (o.kind === 'undelivered') return { kind: 'refused', why: o.why };
+    if (o.status === 200) {
+      const body = Committed.safeParse(o.body);
+      if (body.success) return { kind: 'committed', revision: Revision(body.data.ledger_rev) };
+      return { kind: 'unknown', why: 'unreadable answer' };
+    }
+    if (o.status === 409) {
+      const body = Refused.safeParse(o.body);
+      return { kind: 'conflict', failed: body.success ? body.data.failed : [] };
+    }
+    const error = (o.body as { error?: unknown } | undefined)?.error;
+    if (o.status === 400 && error === 'no such lease') return { kind: 'leaseless' };
+    if (o.status === 503 || o.status === 429 || o.status === 400) {
+      return { kind: 'refused', why: `status ${o.status} ${typeof error === 'string' ? error : ''}` };
+    }
+    return { kind: 'unknown', why: `status ${o.status}` };
+  }
+
+  async createLease(ttl: DurationMs, timeout: DurationMs): Promise<number | undefined> {
+    const o = await this.send(
+      { method: 'POST', path: '/leases', body: { ttl_ms: Math.round(ttl) }, timeout },
+      { urgent: true },
+    );
+    if (o.kind !== 'answer' || o.status !== 200) return undefined;
+    const body = Leased.safeParse(o.body);
+    return body.success ? body.data.tenure : undefined;
+  }
+
+  async touchLease(lease: number, timeout: DurationMs): Promise<'renewed' | 'gone' | 'failed'> {
+    const o = await this.send(
+      { method: 'POST', path: `/leases/${lease}/touch`, body: {}, timeout },
+      { urgent: true },
+    );
+    if (o.kind !== 'answer') return 'failed';
+    return o.status === 200 ? 'renewed' : o.status === 404 ? 'gone' : 'failed';
+  }
+
+  async dropLease(lease: number, timeout: DurationMs): Promise<void> {
+    await this.send({ method: 'DELETE', path: `/leases/${lease}`, timeout }, { urgent: true });
+  }
+
+  /** Waits for a change under a prefix. `stale`: read the keys again. */
+  async follow(
+    prefix: string,
+    from: Revision,
+    wait: DurationMs,
+  ): Promise<Changes | 'stale' | undefined> {
+    const o = await this.send({
+      method: 'GET',
+      path: `/follow?starts=${prefix}&from=${from}&wait_ms=${Math.round(wait)}`,
+      timeout: ms(wait + 3000),
+    });
+    if (o.kind !== 'answer') return undefined;
+    if (o.status === 410) return 'stale';
+    const body = Log.safeParse(o.body);
+    if (o.status !== 200 || !body.success) return undefined;
+    return {
+      revision: Revision(body.data.ledger_rev),
+      keys: body.data.log.map((e) => e.put ?? e.delete ?? ''),
+    };
+  }
+}
--- /dev/null
+++ b/src/units/system.ts
@@ -0,0 +1,12 @@
+import { performance } from 'node:perf_hooks';
+import { type Clock, SteadyMs, WallMs } from './index.js';
+
+/** The machine's own clocks. */
+export const systemClock: Clock = {
+  steady: () => SteadyMs(performance.now()),
+  wall: () => WallMs(Date.now()),
+  after: (delay, run) => {
+    const timer = setTimeout(run, Math.max(0, delay));
+    return { cancel: () => clearTimeout(timer) };
+  },
+};
