--- a/src/api/service.ts
+++ b/src/api/service.ts
@@ -252,9 +252,7 @@
     switch (answer.kind) {
       case 'job':
         // Not committed yet: nobody may be told of it.
-        return answer.job.revision > 0
-          ? { status: 200, body: this.jobBody(answer.job) }
-          : later503;
+        return answer.job.revision > 0 ? { status: 200, body: this.jobBody(answer.job) } : later503;
       case 'final':
         return { status: 200, body: this.finalBody(id, answer.final) };
       case 'absent':
--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -49,7 +49,8 @@
     if (opts.check) return { kind: 'exit', code: 0, out: 'settings are valid\n' };
     return { kind: 'run', settings, operator };
   } catch (e) {
-    if (e instanceof SettingsError) return { kind: 'exit', code: 1, err: `topazpin: ${e.message}\n` };
+    if (e instanceof SettingsError)
+      return { kind: 'exit', code: 1, err: `topazpin: ${e.message}\n` };
     throw e;
   }
 }
--- a/src/cloud/client.ts
+++ b/src/cloud/client.ts
@@ -1,12 +1,6 @@
 import type { HttpClient, Outcome, Request } from '../net/http.js';
 import { Bucket } from '../store/budget.js';
-import {
-  MachineId,
-  ms,
-  type Clock,
-  type DurationMs,
-  type Endpoint,
-} from '../units/index.js';
+import { MachineId, ms, type Clock, type DurationMs, type Endpoint } from '../units/index.js';
 import { BoxPage, Flavors, Hired, type Box, type Flavor, type Hire } from '../wire/index.js';
 
 export const MAX_HIRE = 50;
--- a/src/config/operator-file.ts
+++ b/src/config/operator-file.ts
@@ -45,7 +45,9 @@
   const lease = f.leadership?.['lease-s'] ?? DEFAULTS.leaseS;
   const renew = f.leadership?.['renew-s'] ?? Math.min(DEFAULTS.renewS, lease / 3);
   if (renew > lease / 2) {
-    throw new SettingsError('operator settings: leadership.renew-s: must be at most half of lease-s');
+    throw new SettingsError(
+      'operator settings: leadership.renew-s: must be at most half of lease-s',
+    );
   }
   return {
     lease: seconds(lease),
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -129,7 +129,9 @@
   }
   for (const t of f.params.teams) {
     if ((t.cpus_max > 0 && t.cpus > t.cpus_max) || (t.gpus_max > 0 && t.gpus > t.gpus_max)) {
-      throw new SettingsError(`settings: params.teams: ${t.name} is guaranteed more than its limit`);
+      throw new SettingsError(
+        `settings: params.teams: ${t.name} is guaranteed more than its limit`,
+      );
     }
   }
   const w = f.params.workers;
@@ -161,7 +163,11 @@
       docket: o.class ?? undefined,
       within: o.within_s === null || o.within_s === undefined ? undefined : seconds(o.within_s),
     })),
-    workers: { report: seconds(w.report_s), lease: seconds(w.lease_s), cancel: seconds(w.cancel_s) },
+    workers: {
+      report: seconds(w.report_s),
+      lease: seconds(w.lease_s),
+      cancel: seconds(w.cancel_s),
+    },
     state: {
       rps: f.params.state.rps,
       writeRps: f.params.state.write_rps,
--- a/src/leader/election.ts
+++ b/src/leader/election.ts
@@ -2,11 +2,11 @@
 import type { Logger } from 'pino';
 import type { StoreClient } from '../store/client.js';
 import { LEADER_KEY } from '../ledger/ledger.js';
+import type { SteadyMs } from '../units/index.js';
 import {
   Epoch,
   NodeId,
   Revision,
-  SteadyMs,
   later,
   ms,
   shrunk,
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -5,7 +5,7 @@
 import type { HttpClient } from '../net/http.js';
 import type { StoreClient } from '../store/client.js';
 import { Ledger } from '../ledger/ledger.js';
-import { StoreFront } from '../ledger/front.js';
+import type { StoreFront } from '../ledger/front.js';
 import { LIVE_PREFIX, decodeJob, openTaskLimit } from '../ledger/codec.js';
 import { Job, Press, type Final, type Placement } from '../ledger/job.js';
 import {
@@ -317,18 +317,16 @@
 
   /** Jobs that other nodes took in while they could not reach a leader. */
   private async watchNotices(): Promise<void> {
-    let from = 0 as never;
     while (!this.closed) {
       const notices = await this.deps.front.notices();
       if (this.closed) return;
       if (notices) {
-        from = notices.revision as never;
         for (const id of notices.ids) {
           const answer = await this.find(id);
           if (this.closed) return;
           if (answer.kind !== 'unsure') this.ledger.forgetNotice(this.deps.front.noticeKey(id));
         }
-        const change = await this.deps.front.followNotices(from);
+        const change = await this.deps.front.followNotices(notices.revision);
         if (change) continue;
       }
       await sleep(this.deps.clock, seconds(1));
@@ -414,7 +412,15 @@
       const unwanted = job.aborted || (m.draining && p.version <= job.committed);
       if (!unwanted) continue;
       if (
-        provenAbsent(r, beat, key, a.attempt, { inherited: p.inherited, sent: p.sent }, m.doubts, this.epoch)
+        provenAbsent(
+          r,
+          beat,
+          key,
+          a.attempt,
+          { inherited: p.inherited, sent: p.sent },
+          m.doubts,
+          this.epoch,
+        )
       ) {
         this.unplace(job, a.index, 'not on its machine');
       }
@@ -503,7 +509,10 @@
           out.push({ verb: 'launch', entry: key, try: a.attempt });
           out.push({ verb: 'kill', entry: key, try: a.attempt, wind_down_s: 0 });
         }
-      } else if (p.version <= job.committed && (!m.draining || m.doubts.has(attemptKey(key, a.attempt)))) {
+      } else if (
+        p.version <= job.committed &&
+        (!m.draining || m.doubts.has(attemptKey(key, a.attempt)))
+      ) {
         p.sent = { shift: r.shift, tally: r.tally };
         out.push({ verb: 'launch', entry: key, try: a.attempt });
       }
@@ -689,7 +698,8 @@
     const silent = this.silentAfter;
     const hosts: Host[] = [];
     for (const m of this.machines.values()) {
-      if (!m.up || m.draining || m.deleteSent || m.heldUntil > now || !m.addr || !m.report) continue;
+      if (!m.up || m.draining || m.deleteSent || m.heldUntil > now || !m.addr || !m.report)
+        continue;
       if (m.lastHeard === undefined || since(m.lastHeard, now) > silent) continue;
       const flavor = this.deps.catalog.flavor(m.place.build);
       if (!flavor) continue;
--- a/src/ledger/codec.ts
+++ b/src/ledger/codec.ts
@@ -1,8 +1,8 @@
 import { z } from 'zod';
 import { JobSpec } from '../wire/index.js';
+import type { JobId } from '../units/index.js';
 import {
   Attempt,
-  JobId,
   MachineId,
   WallMs,
   type Epoch,
@@ -96,7 +96,9 @@
   const parsed = Live.safeParse(data);
   if (!parsed.success) {
     const issue = parsed.error.issues[0];
-    throw new RecordError(`record of ${id}: ${issue?.path.join('.') ?? ''}: ${issue?.message ?? ''}`);
+    throw new RecordError(
+      `record of ${id}: ${issue?.path.join('.') ?? ''}: ${issue?.message ?? ''}`,
+    );
   }
   const r = parsed.data;
   const job = new Job(id, r.s, WallMs(r.t), revision, Ranges.of(r.w));
--- a/src/ledger/front.ts
+++ b/src/ledger/front.ts
@@ -1,11 +1,5 @@
 import type { StoreClient } from '../store/client.js';
-import {
-  Epoch,
-  JobId,
-  Revision,
-  ms,
-  type Clock,
-} from '../units/index.js';
+import { Epoch, JobId, Revision, ms, type Clock } from '../units/index.js';
 import type { JobSpec } from '../wire/index.js';
 import { decodeFinal, decodeJob, doneKey, encodeJob, encodeFinal, liveKey } from './codec.js';
 import { Job, type Final } from './job.js';
--- a/src/ledger/job.ts
+++ b/src/ledger/job.ts
@@ -162,4 +162,3 @@
   if (shown.done >= entries) return 'done';
   return shown.running > 0 ? 'running' : 'pending';
 }
-
--- a/src/node.ts
+++ b/src/node.ts
@@ -123,10 +123,6 @@
   }
 
   private async keepCatalog(): Promise<void> {
-    await this.store.multi(
-      [],
-      [{ put: CATALOG_KEY, data: this.catalog.keep() }],
-      STORE_TIMEOUT,
-    );
+    await this.store.multi([], [{ put: CATALOG_KEY, data: this.catalog.keep() }], STORE_TIMEOUT);
   }
 }
--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -27,7 +27,10 @@
   name: 'Ask',
   fields: [
     { name: 'id', type: 'int' },
-    { name: 'kind', type: { type: 'enum', name: 'Kind', symbols: ['user', 'beat', 'notice', 'ping'] } },
+    {
+      name: 'kind',
+      type: { type: 'enum', name: 'Kind', symbols: ['user', 'beat', 'notice', 'ping'] },
+    },
     { name: 'method', type: 'string' },
     { name: 'path', type: 'string' },
     { name: 'body', type: 'bytes' },
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -73,8 +73,7 @@
 
   private bucket(rate: number, leading: boolean): Bucket {
     const others = Math.max(1, this.nodes - 1);
-    const share =
-      this.nodes === 1 ? 0.95 : leading ? LEADER_SHARE : (0.95 - LEADER_SHARE) / others;
+    const share = this.nodes === 1 ? 0.95 : leading ? LEADER_SHARE : (0.95 - LEADER_SHARE) / others;
     // A follower may need a handful at once however small its share is.
     return new Bucket(this.clock, rate * share, Math.max(3, rate * share));
   }
@@ -177,7 +176,10 @@
     const error = (o.body as { error?: unknown } | undefined)?.error;
     if (o.status === 400 && error === 'no such lease') return { kind: 'leaseless' };
     if (o.status === 503 || o.status === 429 || o.status === 400) {
-      return { kind: 'refused', why: `status ${o.status} ${typeof error === 'string' ? error : ''}` };
+      return {
+        kind: 'refused',
+        why: `status ${o.status} ${typeof error === 'string' ? error : ''}`,
+      };
     }
     return { kind: 'unknown', why: `status ${o.status}` };
   }
--- /dev/null
+++ b/test/support/settings.ts
@@ -0,0 +1,26 @@
+/** A platform's settings file for three nodes, small enough to read. */
+export function settingsFile(node = 0, zones: readonly string[] = ['a', 'b', 'c']) {
+  const nodes = [0, 1, 2];
+  const zone = (n: number): string => zones[n % zones.length] ?? 'a';
+  return {
+    node: `node-${node}`,
+    area: zone(node),
+    api_addr: `10.0.0.${node + 1}:8080`,
+    cluster_listen: `10.0.0.${node + 1}:8081`,
+    others: nodes
+      .filter((n) => n !== node)
+      .map((n) => ({ node: `node-${n}`, area: zone(n), endpoint: `10.0.0.${n + 1}:8081` })),
+    endpoints: { cloud: '10.2.0.2:8443', state: '10.2.0.1:2379' },
+    params: {
+      nodes: 3,
+      zones: [...new Set(zones)],
+      teams: [{ name: 'vision', cpus: 0, cpus_max: 24, gpus: 0, gpus_max: 0 }],
+      objectives: [{ kind: 'deadline', class: 'train', share: 0.9, times: 1 }],
+      workers: { report_s: 3, lease_s: 24, gang_wait_s: 45, gang_peer_s: 4, cancel_s: 44 },
+      state: { rps: 80, write_rps: 15, value_kb: 8, txn_ops: 8 },
+      cloud: { rps: 2, list_lag_s: 3 },
+      limits: { cpu: 0.2, ram_mb: 146, max_connections: 900 },
+      time_bound_ms: 250,
+    },
+  };
+}
--- /dev/null
+++ b/test/unit/config.test.ts
@@ -0,0 +1,102 @@
+import assert from 'node:assert/strict';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { test } from 'node:test';
+import { parseCommandLine } from '../../src/cli/cli.js';
+import { checkTogether, parseOperator } from '../../src/config/operator-file.js';
+import { SettingsError, parseSettings } from '../../src/config/settings.js';
+import { settingsFile } from '../support/settings.js';
+
+void test('settings: what is wrong is named by its field', () => {
+  const file = settingsFile();
+  const cases: [string, unknown, RegExp | undefined][] = [
+    ['as it should be', file, undefined],
+    ['unknown fields', { ...file, colour: 'red' }, undefined],
+    ['no node', { ...file, node: undefined }, /node/],
+    ['a name for an address', { ...file, api_addr: 'localhost:80' }, /api_addr/],
+    ['one address twice', { ...file, cluster_listen: file.api_addr }, /cluster_listen/],
+    ['a node named twice', { ...file, others: [file.others[0], file.others[0]] }, /others/],
+    ['a node missing', { ...file, others: [file.others[0]] }, /params\.nodes/],
+    ['no state service', { ...file, endpoints: { cloud: '10.2.0.2:1' } }, /endpoints\.state/],
+    [
+      'a limit below a guarantee',
+      with_(file, 'teams', [{ name: 't', cpus: 9, cpus_max: 4 }]),
+      /teams/,
+    ],
+    [
+      'a negative rate',
+      with_(file, 'state', { ...file.params.state, rps: -1 }),
+      /params\.state\.rps/,
+    ],
+    [
+      'cancellation before the lease',
+      with_(file, 'workers', { report_s: 3, lease_s: 24, cancel_s: 20 }),
+      /cancel_s/,
+    ],
+    ['not a map', 7, /settings/],
+  ];
+  for (const [name, json, error] of cases) {
+    if (!error) assert.doesNotThrow(() => parseSettings(json), name);
+    else {
+      assert.throws(
+        () => parseSettings(json),
+        (e: Error) =>
+          e instanceof SettingsError && error.test(e.message) && !e.message.includes('\n'),
+        name,
+      );
+    }
+  }
+});
+
+function with_(file: ReturnType<typeof settingsFile>, field: string, value: unknown): unknown {
+  return { ...file, params: { ...file.params, [field]: value } };
+}
+
+void test("operators' settings: XML, checked", () => {
+  const cases: [string, string, RegExp | undefined][] = [
+    ['nothing set', '<topazpin></topazpin>', /topazpin/],
+    ['the lease', '<topazpin><leadership lease-s="8" renew-s="2"/></topazpin>', undefined],
+    ['an unknown element', '<topazpin><colour x="1"/></topazpin>', /colour|nrecognized/],
+    ['not a number', '<topazpin><leadership lease-s="long"/></topazpin>', /lease-s/],
+    ['out of range', '<topazpin><leadership lease-s="0.1"/></topazpin>', /lease-s/],
+    ['renewed too seldom', '<topazpin><leadership lease-s="5" renew-s="4"/></topazpin>', /renew-s/],
+    ['not XML', '<topazpin>', /XML/],
+  ];
+  for (const [name, text, error] of cases) {
+    if (!error) assert.doesNotThrow(() => parseOperator(text), name);
+    else assert.throws(() => parseOperator(text), error, name);
+  }
+  const long = parseOperator('<topazpin><leadership lease-s="30"/></topazpin>');
+  assert.throws(() => checkTogether(parseSettings(settingsFile()), long), /cancel_s/);
+});
+
+void test('the command line', async () => {
+  const dir = mkdtempSync(join(tmpdir(), 'topazpin-'));
+  try {
+    const good = join(dir, 'good.json');
+    writeFileSync(good, JSON.stringify(settingsFile()));
+    const bad = join(dir, 'bad.json');
+    writeFileSync(bad, '{');
+    const cases: [string[], number, RegExp][] = [
+      [['--help'], 0, /Usage: topazpin/],
+      [['--version'], 0, /^\d+\.\d+\.\d+/],
+      [[], 2, /usage: topazpin/],
+      [['--colour'], 2, /usage: topazpin/],
+      [['--config', good, 'more'], 2, /usage: topazpin/],
+      [['--config', good, '--check'], 0, /valid/],
+      [['--config', bad], 1, /not JSON/],
+      [['--config', join(dir, 'none.json')], 1, /cannot read/],
+    ];
+    for (const [argv, code, text] of cases) {
+      const start = await parseCommandLine(argv);
+      assert.equal(start.kind, 'exit', argv.join(' '));
+      if (start.kind !== 'exit') continue;
+      assert.equal(start.code, code, argv.join(' '));
+      assert.match(`${start.out ?? ''}${start.err ?? ''}`, text);
+    }
+    assert.equal((await parseCommandLine(['--config', good])).kind, 'run');
+  } finally {
+    rmSync(dir, { recursive: true });
+  }
+});
--- /dev/null
+++ b/test/unit/fleet.test.ts
@@ -0,0 +1,94 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Machine, leaseEnd, provenAbsent, type Report } from '../../src/fleet/machine.js';
+import { ImageCache } from '../../src/fleet/images.js';
+import { Epoch, MachineId, SteadyMs, seconds } from '../../src/units/index.js';
+
+const epoch = Epoch(50);
+const key = 'run-000001/0';
+const report = (change: Partial<Report>): Report => ({
+  shift: 1,
+  tally: 10,
+  baton: 50,
+  recall: undefined,
+  entries: [],
+  ...change,
+});
+const machine = (): Machine =>
+  new Machine(MachineId('vm-1'), { build: 'a', hall: 'z', spot: true }, 10, SteadyMs(0));
+
+void test('reports are ordered by shift and tally, whichever way they came', () => {
+  const cases: [string, [number, number], [number, number], boolean][] = [
+    ['the next one', [1, 10], [1, 11], true],
+    ['a repeat', [1, 10], [1, 10], false],
+    ['one that was held back', [1, 10], [1, 9], false],
+    ['a new session counts from anew', [1, 10], [2, 1], true],
+    ['a late one of the session before', [2, 1], [1, 99], false],
+  ];
+  for (const [name, [s0, t0], [s1, t1], fresh] of cases) {
+    const m = machine();
+    assert.ok(m.take(report({ shift: s0, tally: t0 }), SteadyMs(1)));
+    assert.equal(m.take(report({ shift: s1, tally: t1 }), SteadyMs(2)), fresh, name);
+  }
+});
+
+void test('what a session left behind ends with its lease', () => {
+  const m = machine();
+  m.take(report({ shift: 3, tally: 5 }), SteadyMs(1));
+  m.doubts.add('run-000001/0#1');
+  m.expire();
+  assert.equal(m.doubts.size, 0);
+  // Held back on the way: the worker has long dropped these tasks.
+  assert.equal(m.take(report({ shift: 3, tally: 6 }), SteadyMs(9)), false);
+  assert.equal(m.take(report({ shift: 4, tally: 1 }), SteadyMs(9)), true);
+});
+
+void test('a lease counts as expired only when it has on every clock', () => {
+  assert.ok(leaseEnd(SteadyMs(0), seconds(24)) > 24_000 * 1.0005);
+});
+
+void test('proofs of absence', () => {
+  const entry = { entry: key, try: 2, status: 'running' };
+  const none = new Set<string>();
+  type Case = [
+    name: string,
+    report: Partial<Report>,
+    beat: boolean,
+    how: Parameters<typeof provenAbsent>[4],
+    doubts: ReadonlySet<string>,
+    proven: boolean,
+  ];
+  const never = { inherited: false, sent: undefined };
+  const sent = { inherited: false, sent: { shift: 1, tally: 9 } };
+  const old = { inherited: true, sent: undefined };
+  const cases: Case[] = [
+    ['never sent', {}, true, never, none, true],
+    ['it is there', { entries: [entry] }, true, never, none, false],
+    ['another attempt is there', { entries: [{ ...entry, try: 1 }] }, true, never, none, true],
+    ['it has ended there', { entries: [{ ...entry, status: 'exited' }] }, true, never, none, true],
+    ['sent with the answer to an earlier report', {}, true, sent, none, true],
+    ['sent with the answer to this very report', { tally: 9 }, true, sent, none, false],
+    // The answer with the start is still on its way to the worker that answered our command.
+    ['only an answer to a command is newer', {}, false, sent, none, false],
+    ['a new session since it was sent', { shift: 2, tally: 1 }, false, sent, none, true],
+    ['a direct start may still arrive', {}, true, never, new Set([`${key}#2`]), false],
+    ['a direct start of another attempt may', {}, true, never, new Set([`${key}#1`]), true],
+    // What an earlier leader sent is refused only once our epoch was seen.
+    ['inherited, our epoch not seen', { baton: 49 }, true, old, none, false],
+    ['inherited, our epoch seen', {}, true, old, none, true],
+  ];
+  for (const [name, r, beat, how, doubts, proven] of cases) {
+    assert.equal(provenAbsent(report(r), beat, key, 2, how, doubts, epoch), proven, name);
+  }
+});
+
+void test('the image cache forgets what was used least lately', () => {
+  const c = new ImageCache(10);
+  c.use('a', 4);
+  c.use('b', 4);
+  c.use('a', 4);
+  c.use('c', 4);
+  assert.deepEqual([c.has('a'), c.has('b'), c.has('c')], [true, false, true]);
+  c.use('huge', 20);
+  assert.deepEqual([c.has('a'), c.has('huge')], [false, true]);
+});
--- /dev/null
+++ b/test/unit/ledger.test.ts
@@ -0,0 +1,126 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import {
+  RecordError,
+  decodeJob,
+  encodeJob,
+  openTaskLimit,
+  sizeOf,
+} from '../../src/ledger/codec.js';
+import { Job } from '../../src/ledger/job.js';
+import { Ranges } from '../../src/ledger/ranges.js';
+import { Epoch, JobId, MachineId, Revision, SteadyMs, WallMs } from '../../src/units/index.js';
+import { spec } from '../support/jobs.js';
+
+const seed = 20260312;
+const now = SteadyMs(0);
+const id = JobId('run-000001');
+
+void test('ranges behave like a set of numbers', () => {
+  const ops = fc.array(fc.tuple(fc.boolean(), fc.nat(40)), { maxLength: 120 });
+  fc.assert(
+    fc.property(ops, (list) => {
+      const ranges = Ranges.of([[0, 20]]);
+      const set = new Set(Array.from({ length: 20 }, (_, i) => i));
+      for (const [add, i] of list) {
+        if (add) {
+          ranges.add(i);
+          set.add(i);
+        } else assert.equal(ranges.remove(i), set.delete(i));
+      }
+      const sorted = [...set].sort((a, b) => a - b);
+      assert.deepEqual([...ranges.indexes()], sorted);
+      assert.equal(ranges.size, set.size);
+      assert.equal(ranges.lowest(), sorted[0]);
+      for (let i = 0; i <= 41; i++) assert.equal(ranges.has(i), set.has(i));
+      const parts = ranges.list();
+      parts.forEach(([a, b], k) => {
+        assert.ok(a < b);
+        if (k > 0) assert.ok((parts[k - 1]?.[1] ?? 0) < a, 'parts neither touch nor overlap');
+      });
+    }),
+    { seed },
+  );
+});
+
+/** Plays placements, finishes and losses on a job as the leader would, lowest index first. */
+function play(job: Job, moves: readonly (readonly [number, number])[], limit: number): void {
+  for (const [kind, pick] of moves) {
+    const placed = [...job.placed.keys()];
+    const chosen = placed[pick % Math.max(1, placed.length)];
+    if (kind === 0) {
+      const tasks: { index: number; machine: MachineId }[] = [];
+      for (const index of job.waiting.indexes()) {
+        if (tasks.length > pick % 7 || job.open + tasks.length >= limit) break;
+        tasks.push({ index, machine: MachineId(`vm-${100000 + (pick % 28)}`) });
+      }
+      if (tasks.length > 0) job.place(tasks, now);
+    } else if (chosen !== undefined) {
+      if (kind === 1) job.finish(chosen);
+      else job.unplace(chosen);
+    }
+  }
+}
+
+const moves = fc.array(fc.tuple(fc.nat(2), fc.nat(1000)), { maxLength: 200 });
+
+void test('records come back as they were', () => {
+  fc.assert(
+    fc.property(moves, fc.boolean(), (list, aborted) => {
+      const job = new Job(id, spec({ entries: 60 }), WallMs(5), Revision(7));
+      play(job, list, 60);
+      if (aborted) job.abort();
+      const back = decodeJob(
+        id,
+        JSON.parse(JSON.stringify(encodeJob(job, Epoch(3)))),
+        Revision(7),
+        now,
+      );
+      assert.deepEqual(back.waiting.list(), job.waiting.list());
+      assert.equal(back.doneCount, job.doneCount);
+      assert.equal(back.aborted, job.aborted);
+      assert.equal(back.nextAttempt, job.nextAttempt);
+      assert.deepEqual(
+        [...back.placed].map(([i, p]) => [i, p.machine, p.attempt]).sort(),
+        [...job.placed].map(([i, p]) => [i, p.machine, p.attempt]).sort(),
+      );
+    }),
+    { seed },
+  );
+});
+
+void test('a record of 100,000 tasks stays within the size of a value', () => {
+  const wide = spec({ entries: 100_000, bundle: 'x'.repeat(120), docket: 'y'.repeat(120) });
+  const limit = openTaskLimit(wide, 8192);
+  assert.ok(limit > 50, `only ${limit} tasks at once`);
+  const long = fc.array(fc.tuple(fc.constantFrom(0, 0, 1, 2), fc.nat(100_000)), {
+    minLength: 400,
+    maxLength: 900,
+  });
+  fc.assert(
+    fc.property(long, (list) => {
+      const job = new Job(id, wide, WallMs(Date.UTC(2026, 0)), Revision(123456));
+      play(job, list, limit);
+      assert.ok(sizeOf(encodeJob(job, Epoch(123456))) <= 8192);
+    }),
+    { seed, numRuns: 30 },
+  );
+});
+
+void test('damaged records are refused rather than read as finished work', () => {
+  const job = new Job(id, spec({ entries: 8 }), WallMs(5), Revision(7));
+  job.place([{ index: 0, machine: MachineId('vm-000001') }], now);
+  const record = encodeJob(job, Epoch(3));
+  const cases: [string, unknown][] = [
+    ['a waiting range is missing', { ...record, w: [] }],
+    ['a placement is missing', { ...record, p: [] }],
+    ['a task is in two states', { ...record, w: [[0, 8]] }],
+    ['a placement names no machine', { ...record, m: [] }],
+    ['a format to come', { ...record, f: 2 }],
+    ['no record', 'x'],
+  ];
+  for (const [name, data] of cases) {
+    assert.throws(() => decodeJob(id, data, Revision(1), now), RecordError, name);
+  }
+});
--- /dev/null
+++ b/test/unit/placer.test.ts
@@ -0,0 +1,176 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { allows, place, type Host, type Size, type Want } from '../../src/placer/placer.js';
+import { JobId, MachineId } from '../../src/units/index.js';
+
+const seed = 20260314;
+const host = (id: string, change: Partial<Host> & { images?: string[] } = {}): Host => {
+  const total: Size = change.total ?? { cpus: 8, gpus: 0, ramGb: 32 };
+  return {
+    id: MachineId(id),
+    build: 'small',
+    hall: 'a',
+    spot: true,
+    total,
+    free: total,
+    fetchGbPerS: 0.5,
+    holds: (image) => (change.images ?? []).includes(image),
+    fetching: new Set(),
+    ...change,
+  };
+};
+const want = (id: string, count: number, change: Partial<Want> = {}): Want => ({
+  id: JobId(id),
+  team: 't',
+  size: { cpus: 2, gpus: 0, ramGb: 1 },
+  image: 'img',
+  imageGb: 2,
+  builds: null,
+  hall: null,
+  spot: true,
+  together: false,
+  zone: undefined,
+  perZone: Infinity,
+  inZone: new Map(),
+  indexes: Array.from({ length: count }, (_, i) => i),
+  avoid: new Set(),
+  ...change,
+});
+
+void test('where a task goes', () => {
+  const big: Size = { cpus: 32, gpus: 0, ramGb: 64 };
+  const cases: [string, Want, Host[], string | undefined][] = [
+    ['the holder of its image', want('j', 1), [host('m1'), host('m2', { images: ['img'] })], 'm2'],
+    [
+      'the freest',
+      want('j', 1),
+      [host('m1', { free: { cpus: 4, gpus: 0, ramGb: 32 } }), host('m2')],
+      'm2',
+    ],
+    ['the smaller type', want('j', 1), [host('m1', { total: big, free: big }), host('m2')], 'm2'],
+    [
+      'only an allowed type',
+      want('j', 1, { builds: ['fat'] }),
+      [host('m1'), host('m2', { build: 'fat' })],
+      'm2',
+    ],
+    [
+      'only the allowed zone',
+      want('j', 1, { hall: 'b' }),
+      [host('m1'), host('m2', { hall: 'b' })],
+      'm2',
+    ],
+    [
+      'no spot machine',
+      want('j', 1, { spot: false }),
+      [host('m1'), host('m2', { spot: false })],
+      'm2',
+    ],
+    [
+      'not where it failed',
+      want('j', 1, { avoid: new Set([MachineId('m1')]) }),
+      [host('m1'), host('m2')],
+      'm2',
+    ],
+    [
+      'its zone',
+      want('j', 1, { together: true, zone: 'b' }),
+      [host('m1'), host('m2', { hall: 'b' })],
+      'm2',
+    ],
+    [
+      'not too many in a zone',
+      want('j', 1, { perZone: 1, inZone: new Map([['a', 1]]) }),
+      [host('m1')],
+      undefined,
+    ],
+    [
+      'nowhere without room',
+      want('j', 1, { size: { cpus: 16, gpus: 0, ramGb: 1 } }),
+      [host('m1')],
+      undefined,
+    ],
+  ];
+  for (const [name, w, hosts, machine] of cases) {
+    assert.equal(place([w], hosts, new Map(), 10)[0]?.machine, machine, name);
+  }
+});
+
+void test('no placement breaks capacity, a limit, a zone rule or the kinds allowed', () => {
+  const size = fc.record({
+    cpus: fc.integer({ min: 1, max: 9 }),
+    gpus: fc.nat(1),
+    ramGb: fc.nat(20),
+  });
+  const hosts = fc.array(
+    fc.record({
+      build: fc.constantFrom('small', 'fat'),
+      hall: fc.constantFrom('a', 'b', 'c'),
+      spot: fc.boolean(),
+      free: fc.record({ cpus: fc.nat(16), gpus: fc.nat(2), ramGb: fc.nat(40) }),
+      images: fc.subarray(['x', 'y']),
+    }),
+    { maxLength: 6 },
+  );
+  const wants = fc.array(
+    fc.record({
+      count: fc.integer({ min: 1, max: 12 }),
+      size,
+      team: fc.constantFrom('t', 'u'),
+      image: fc.constantFrom('x', 'y', 'z'),
+      builds: fc.option(fc.subarray(['small', 'fat']), { nil: null }),
+      hall: fc.option(fc.constantFrom('a', 'b'), { nil: null }),
+      spot: fc.boolean(),
+      together: fc.boolean(),
+      apart: fc.boolean(),
+    }),
+    { maxLength: 5 },
+  );
+  fc.assert(
+    fc.property(hosts, wants, fc.nat(30), (hs, ws, limit) => {
+      const hostList = hs.map((h, i) => host(`m${i}`, { ...h, total: h.free }));
+      const wantList = ws.map((w, i) =>
+        want(`j${i}`, w.count, { ...w, perZone: w.apart ? Math.ceil(w.count / 2) : Infinity }),
+      );
+      const once = place(wantList, hostList, new Map([['t', { cpus: limit, gpus: limit }]]), 50);
+      const twice = place(wantList, hostList, new Map([['t', { cpus: limit, gpus: limit }]]), 50);
+      assert.deepEqual(once, twice, 'the same input gives the same placements');
+      const used = new Map<string, Size>();
+      const zones = new Map<string, Map<string, number>>();
+      let team = 0;
+      const seen = new Set<string>();
+      for (const a of once) {
+        const w = wantList.find((x) => x.id === a.job);
+        const h = hostList.find((x) => x.id === a.machine);
+        assert.ok(w && h);
+        assert.ok(allows(w, h));
+        assert.ok(!seen.has(`${a.job}/${a.index}`), 'a task is placed once');
+        seen.add(`${a.job}/${a.index}`);
+        const u = used.get(h.id) ?? { cpus: 0, gpus: 0, ramGb: 0 };
+        used.set(h.id, {
+          cpus: u.cpus + w.size.cpus,
+          gpus: u.gpus + w.size.gpus,
+          ramGb: u.ramGb + w.size.ramGb,
+        });
+        if (w.team === 't') team += w.size.cpus;
+        const z = zones.get(w.id) ?? new Map<string, number>();
+        z.set(h.hall, (z.get(h.hall) ?? 0) + 1);
+        zones.set(w.id, z);
+      }
+      for (const h of hostList) {
+        const u = used.get(h.id);
+        if (!u) continue;
+        assert.ok(u.cpus <= h.free.cpus && u.gpus <= h.free.gpus && u.ramGb <= h.free.ramGb);
+      }
+      assert.ok(team <= limit);
+      for (const w of wantList) {
+        const z = zones.get(w.id);
+        if (!z) continue;
+        if (w.together) assert.equal(z.size, 1);
+        for (const n of z.values()) assert.ok(n <= w.perZone);
+      }
+    }),
+    { seed },
+  );
+});
