--- /dev/null
+++ b/test/standin/network.ts
@@ -0,0 +1,135 @@
+import type { HttpClient, Outcome, Request } from '../../src/net/http.js';
+import type { Random } from '../../src/units/index.js';
+import { decode, encode } from '../../src/wire/index.js';
+import type { ProcessClock, VirtualTime } from './clock.js';
+
+export interface Answered {
+  readonly status: number;
+  readonly body?: unknown;
+}
+
+export type Handler = (
+  method: string,
+  path: string,
+  body: unknown,
+  from: string,
+) => Answered | Promise<Answered>;
+
+interface Host {
+  readonly zone: string;
+  handler: Handler | undefined;
+  /** Silent hosts neither answer nor refuse; what reaches them waits until they go on. */
+  hung: boolean;
+}
+
+const through = (value: unknown): unknown =>
+  value === undefined ? undefined : decode(encode(value));
+
+/**
+ * The network between hosts: delays, cuts that hold messages back and deliver them late, and lost
+ * answers. A message that is on its way is delivered whatever has become of its sender.
+ */
+export class Network {
+  private readonly hosts = new Map<string, Host>();
+  private readonly cuts = new Set<string>();
+  private held: { from: string; to: string; go: () => void }[] = [];
+  /** The share of answers that get lost, and of requests. */
+  loss = 0;
+  /** Called before each request leaves; a test may kill the sender here. */
+  onSend: ((from: string, to: string, path: string) => void) | undefined;
+
+  constructor(
+    readonly time: VirtualTime,
+    private readonly random: Random,
+  ) {}
+
+  attach(address: string, zone: string, handler: Handler): void {
+    this.hosts.set(address, { zone, handler, hung: false });
+  }
+
+  detach(address: string): void {
+    this.hosts.delete(address);
+  }
+
+  hang(address: string, hung: boolean): void {
+    const host = this.hosts.get(address);
+    if (host) host.hung = hung;
+    if (!hung) this.release();
+  }
+
+  /** Cuts two zones off from each other. Zones named by a leading dot belong to the region. */
+  cut(a: string, b: string, on: boolean): void {
+    for (const key of [`${a}|${b}`, `${b}|${a}`]) {
+      if (on) this.cuts.add(key);
+      else this.cuts.delete(key);
+    }
+    if (!on) this.release();
+  }
+
+  private release(): void {
+    const held = this.held;
+    this.held = [];
+    for (const h of held) this.forward(h.from, h.to, h.go);
+  }
+
+  private blocked(fromZone: string, to: string): boolean {
+    const host = this.hosts.get(to);
+    return host !== undefined && (host.hung || this.cuts.has(`${fromZone}|${host.zone}`));
+  }
+
+  private forward(fromZone: string, to: string, go: () => void): void {
+    if (this.blocked(fromZone, to)) this.held.push({ from: fromZone, to, go });
+    else this.time.after(1 + this.random() * 4, go);
+  }
+
+  /** A client of this network for one process. Nothing comes back to a process that is dead. */
+  client(from: string, zone: string, clock: ProcessClock): HttpClient {
+    return {
+      send: (request) =>
+        new Promise((resolve) => {
+          this.onSend?.(from, request.endpoint, request.path);
+          if (clock.dead) return;
+          this.send(from, zone, request, (o) => {
+            if (!clock.dead) resolve(o);
+          });
+        }),
+    };
+  }
+
+  send(from: string, zone: string, request: Request, resolve: (o: Outcome) => void): void {
+    let settled = false;
+    const settle = (o: Outcome): void => {
+      if (settled) return;
+      settled = true;
+      timer.cancel();
+      resolve(o);
+    };
+    const to = request.endpoint;
+    // A new connection into a cut is given up and comes to nothing; a kept one carries on later.
+    const kept = this.random() < 0.6;
+    let sent = false;
+    const timer = this.time.after(request.timeout, () =>
+      settle({ kind: sent ? 'unknown' : 'undelivered', why: 'no answer in time' }),
+    );
+    if (this.blocked(zone, to) && !kept) return;
+    sent = true;
+    const body = through(request.body);
+    if (this.random() < this.loss) return;
+    this.forward(zone, to, () => {
+      const host = this.hosts.get(to);
+      if (!host?.handler) {
+        settle({ kind: 'undelivered', why: 'refused' });
+        return;
+      }
+      void Promise.resolve(host.handler(request.method, request.path, body, from)).then((a) => {
+        if (this.random() < this.loss) return;
+        const answer = through(a.body);
+        this.time.after(1 + this.random() * 4, () => {
+          // The way back is cut as well: the sender has long given up when it is open again.
+          if (this.blocked(zone, to)) return;
+          settle({ kind: 'answer', status: a.status, body: answer });
+        });
+      });
+    });
+  }
+}
--- /dev/null
+++ b/test/standin/world.ts
@@ -0,0 +1,434 @@
+import { pino, type Logger } from 'pino';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { defaultOperator } from '../../src/config/operator.js';
+import { parseSettings, type Settings } from '../../src/config/settings.js';
+import { Controller } from '../../src/node.js';
+import type { Peer } from '../../src/peer/channel.js';
+import { decodeAsk, decodeTold, encodeAsk, encodeTold } from '../../src/peer/frames.js';
+import type { Endpoint, NodeId } from '../../src/units/index.js';
+import { ms, type Random } from '../../src/units/index.js';
+import { encode, type Flavor, type JobSpec } from '../../src/wire/index.js';
+import { spec } from '../support/jobs.js';
+import { settingsFile } from '../support/settings.js';
+import { ProcessClock, VirtualTime } from './clock.js';
+import { Cloud, type Rented } from './cloud.js';
+import { Network } from './network.js';
+import { StateService } from './state.js';
+import { Worker, type WorkerWorld } from './worker.js';
+
+const REGION = '.region';
+const STATE = '10.2.0.1:2379';
+const CLOUD = '10.2.0.2:8443';
+
+export const flavors: readonly Flavor[] = [
+  {
+    name: 'small',
+    vcpus: 8,
+    gpus: 0,
+    ram_gb: 32,
+    cache_gb: 20,
+    fetch_gb_per_s: 0.5,
+    rate: 0.4,
+    spot_price: 0.15,
+    ready_s: 10,
+    halls: ['a', 'b', 'c'],
+  },
+];
+
+/** The peers' own records, carried as text through a network that knows nothing binary. */
+interface Framed {
+  readonly frame: string;
+}
+const framed = (bytes: Buffer): Framed => ({ frame: bytes.toString('base64') });
+
+interface Process {
+  readonly clock: ProcessClock;
+  readonly controller: Controller;
+}
+
+interface Known {
+  readonly spec: JobSpec;
+  readonly runMs: number;
+  accepted: boolean;
+  told: string;
+  abortAsked: boolean;
+  /** When the user was told that it is cancelled. */
+  abortedAt: number | undefined;
+  readonly completed: Set<number>;
+}
+
+export interface WorldOptions {
+  readonly seed: number;
+  readonly zones?: readonly string[];
+  readonly loss?: number;
+}
+
+/** Three whole controllers among stand-ins, on a virtual clock, with the rules checked as they run. */
+export class World implements WorkerWorld {
+  readonly time = new VirtualTime();
+  readonly random: Random;
+  readonly network: Network;
+  readonly state: StateService;
+  readonly cloud: Cloud;
+  readonly broken: string[] = [];
+  readonly jobs = new Map<string, Known>();
+  readonly workers = new Map<string, { worker: Worker; machine: Rented }>();
+  starts = 0;
+  private readonly nodes = new Map<number, Process>();
+  private readonly where = new Map<string, Set<string>>();
+  private readonly settings: Settings;
+  private readonly zones: readonly string[];
+  private readonly log: Logger;
+  private jobCounter = 0;
+
+  constructor(options: WorldOptions) {
+    const generator = xoroshiro128plus(options.seed);
+    this.random = () => uniformFloat64(generator);
+    this.zones = options.zones ?? ['a', 'b', 'c'];
+    this.settings = parseSettings(settingsFile(0, this.zones));
+    // What goes wrong inside must not stay unseen behind a passing rule check.
+    this.log = pino(
+      { level: process.env['SIM_LOG'] ?? 'error' },
+      {
+        write: (line) => {
+          if ((JSON.parse(line) as { level: number }).level >= 50) this.broken.push(`log: ${line}`);
+          if (process.env['SIM_LOG']) process.stderr.write(`${Math.round(this.time.now)} ${line}`);
+        },
+      },
+    );
+    this.network = new Network(this.time, this.random);
+    this.network.loss = options.loss ?? 0;
+    this.state = new StateService(this.time, this.settings.state);
+    this.cloud = new Cloud(
+      this.time,
+      this.random,
+      flavors,
+      3000,
+      (m) => this.boot(m),
+      (m) => this.gone(m),
+      (n) => `10.1.${n >> 8}.${n & 255}:9000`,
+    );
+    this.network.attach(STATE, REGION, (m, p, b, from) => this.state.handle(m, p, b, from));
+    this.network.attach(CLOUD, REGION, (m, p, b) => this.cloud.handle(m, p, b));
+    for (const n of [0, 1, 2]) this.startNode(n);
+    this.watchCancelled();
+  }
+
+  // --- controllers ------------------------------------------------------------------------------
+
+  startNode(n: number): void {
+    if (this.nodes.has(n)) return;
+    const settings = parseSettings(settingsFile(n, this.zones));
+    const clock = new ProcessClock(
+      this.time,
+      (this.random() - 0.5) * 0.0005,
+      (this.random() - 0.5) * 400,
+    );
+    const api = settings.api;
+    const http = this.network.client(settings.node, settings.area, clock);
+    const peers = new Map<NodeId, Peer>(
+      settings.others.map((o) => [o.node, this.peer(http, clock, o.endpoint)]),
+    );
+    const controller = new Controller(settings, defaultOperator, {
+      clock,
+      random: this.random,
+      http,
+      log: this.log.child({ node: settings.node }),
+      peers,
+      run: `run-${n}-${this.time.now}`,
+    });
+    this.network.attach(api, settings.area, async (method, path, body) => {
+      const bytes = body === undefined ? Buffer.alloc(0) : encode(body);
+      return path === '/agent/beat'
+        ? controller.service.beat(bytes)
+        : controller.service.user(method, path, bytes);
+    });
+    this.network.attach(settings.cluster, settings.area, async (_method, _path, body) => {
+      const ask = decodeAsk(Buffer.from((body as Framed).frame, 'base64'));
+      const reply = await controller.service.peer(ask);
+      return { status: 200, body: framed(encodeTold({ id: ask.id, ...reply })) };
+    });
+    this.nodes.set(n, { clock, controller });
+    controller.start();
+  }
+
+  private peer(http: ReturnType<Network['client']>, clock: ProcessClock, endpoint: Endpoint): Peer {
+    let silentUntil = 0;
+    return {
+      get responsive() {
+        return clock.steady() >= silentUntil;
+      },
+      ask: async (request, timeout) => {
+        const body = framed(encodeAsk({ id: 1, ...request }));
+        const o = await http.send({ endpoint, method: 'POST', path: '/', body, timeout });
+        if (o.kind !== 'answer') {
+          silentUntil = clock.steady() + 2000;
+          return undefined;
+        }
+        return decodeTold(Buffer.from((o.body as Framed).frame, 'base64'));
+      },
+    };
+  }
+
+  /** Killed without a signal: nothing of it runs on, what it sent may still arrive. */
+  killNode(n: number): void {
+    const p = this.nodes.get(n);
+    if (!p) return;
+    p.clock.dead = true;
+    p.controller.stop();
+    this.nodes.delete(n);
+    const s = parseSettings(settingsFile(n, this.zones));
+    this.network.detach(s.api);
+    this.network.detach(s.cluster);
+  }
+
+  leaderNode(): number | undefined {
+    for (const [n, p] of this.nodes) {
+      if (p.controller.election.authority() !== undefined) return n;
+    }
+    return undefined;
+  }
+
+  async run(forMs: number): Promise<void> {
+    await this.time.run(this.time.now + forMs);
+  }
+
+  // --- machines ---------------------------------------------------------------------------------
+
+  private boot(m: Rented): void {
+    const clock = new ProcessClock(this.time, (this.random() - 0.5) * 0.0005, 0);
+    const nodes = [0, 1, 2].map((n) => {
+      const s = parseSettings(settingsFile(n, this.zones));
+      return { name: s.node, addr: s.api };
+    });
+    const worker = new Worker(
+      m,
+      this.cloud.flavor(m.build)?.vcpus ?? 0,
+      nodes,
+      this.network.client(m.id, m.hall, clock),
+      clock,
+      this.random,
+      { reportMs: this.settings.workers.report, leaseMs: this.settings.workers.lease },
+      this,
+    );
+    this.workers.set(m.id, { worker, machine: m });
+    this.network.attach(m.addr, m.hall, (method, path, body) => worker.handle(method, path, body));
+  }
+
+  private gone(m: Rented): void {
+    this.workers.get(m.id)?.worker.kill();
+    this.workers.delete(m.id);
+    this.network.detach(m.addr);
+  }
+
+  hangWorker(id: string, hung: boolean): void {
+    const w = this.workers.get(id);
+    if (!w) return;
+    w.worker.hung = hung;
+    this.network.hang(w.machine.addr, hung);
+  }
+
+  recall(id: string, inMs: number): void {
+    const w = this.workers.get(id);
+    if (!w) return;
+    w.worker.recallAt = this.time.now + inMs;
+    this.time.after(inMs, () => this.cloud.end(id));
+  }
+
+  // --- what workers see of jobs, and the rules --------------------------------------------------
+
+  private parse(entry: string): { job: Known; index: number } | undefined {
+    const [id = '', index = ''] = entry.split('/');
+    const job = this.jobs.get(id);
+    return job ? { job, index: Number(index) } : undefined;
+  }
+
+  facts(entry: string) {
+    const t = this.parse(entry);
+    if (!t) return undefined;
+    return {
+      vcpus: t.job.spec.vcpus,
+      ramGb: t.job.spec.ram_gb,
+      runMs: t.job.runMs,
+      fetchMs: t.job.spec.size_gb * 2000,
+      image: t.job.spec.bundle,
+    };
+  }
+
+  started(machine: string, entry: string): void {
+    this.starts++;
+    const on = this.where.get(entry) ?? new Set<string>();
+    if (on.size > 0 && !on.has(machine)) {
+      this.rule('ran_twice', `${entry} on ${machine} and ${[...on].join()}`);
+    }
+    on.add(machine);
+    this.where.set(entry, on);
+    const t = this.parse(entry);
+    const m = this.cloud.machines.get(machine);
+    if (!t || !m) return;
+    const { spec: s } = t.job;
+    const others = this.zonesOf(s.name_id, entry);
+    const here = others.filter((z) => z === m.hall).length + 1;
+    if (
+      (s.builds !== null && !s.builds.includes(m.build)) ||
+      (s.hall !== null && s.hall !== m.hall) ||
+      (!s.loaners && m.spot) ||
+      (s.together && others.some((z) => z !== m.hall)) ||
+      (s.apart && here > Math.ceil(s.entries / 2))
+    ) {
+      this.rule('wrong_place', `${entry} on ${machine}`);
+    }
+    if (
+      t.job.abortedAt !== undefined &&
+      this.time.now - t.job.abortedAt > this.settings.workers.cancel
+    ) {
+      this.rule('ran_cancelled', `${entry} started`);
+    }
+    let used = 0;
+    for (const [e, machines] of this.where) {
+      used += machines.size * (this.parse(e)?.job.spec.vcpus ?? 0);
+    }
+    const most = this.settings.teams.get(s.desk)?.cpusMax ?? 0;
+    if (most > 0 && used > most) this.rule('quota', `${used} of ${most}`);
+  }
+
+  private zonesOf(job: string, except: string): string[] {
+    const zones: string[] = [];
+    for (const [e, machines] of this.where) {
+      if (e === except || !e.startsWith(`${job}/`)) continue;
+      for (const m of machines) zones.push(this.cloud.machines.get(m)?.hall ?? '');
+    }
+    return zones;
+  }
+
+  left(machine: string, entry: string): void {
+    const on = this.where.get(entry);
+    on?.delete(machine);
+    if (on?.size === 0) this.where.delete(entry);
+  }
+
+  completed(entry: string): void {
+    const t = this.parse(entry);
+    t?.job.completed.add(t.index);
+  }
+
+  isCompleted(entry: string): boolean {
+    const t = this.parse(entry);
+    return t?.job.completed.has(t.index) ?? false;
+  }
+
+  private watchCancelled(): void {
+    this.time.after(500, () => {
+      for (const [entry] of this.where) {
+        const at = this.parse(entry)?.job.abortedAt;
+        if (at !== undefined && this.time.now - at > this.settings.workers.cancel) {
+          this.rule('ran_cancelled', `${entry} is still there`);
+        }
+      }
+      this.watchCancelled();
+    });
+  }
+
+  private rule(name: string, what: string): void {
+    this.broken.push(`${name} at ${Math.round(this.time.now)}: ${what}`);
+  }
+
+  // --- users ------------------------------------------------------------------------------------
+
+  private readonly user = new ProcessClock(this.time, 0, 0);
+
+  private async ask(method: 'GET' | 'POST', path: string, body: unknown, timeout: number) {
+    const alive = [...this.nodes.keys()];
+    const n = alive[Math.floor(this.random() * alive.length)];
+    if (n === undefined) return undefined;
+    const endpoint = parseSettings(settingsFile(n, this.zones)).api;
+    const client = this.network.client('user', REGION, this.user);
+    const o = await client.send({ endpoint, method, path, body, timeout: ms(timeout) });
+    return o.kind === 'answer' ? o : undefined;
+  }
+
+  /** A user's job from its submission to its end; `abortAfter`: cancels it then. */
+  submit(change: Partial<JobSpec>, runMs: number, abortAfter?: number): string {
+    const id = `run-${String(++this.jobCounter).padStart(6, '0')}`;
+    const job: Known = {
+      spec: spec({ ...change, name_id: id }),
+      runMs,
+      accepted: false,
+      told: 'pending',
+      abortAsked: false,
+      abortedAt: undefined,
+      completed: new Set(),
+    };
+    this.jobs.set(id, job);
+    this.keepSubmitting(id, job);
+    if (abortAfter !== undefined) {
+      this.time.after(abortAfter, () => {
+        job.abortAsked = true;
+        this.keepAborting(id, job);
+      });
+    }
+    return id;
+  }
+
+  private keepSubmitting(id: string, job: Known): void {
+    void this.ask('POST', '/v1/jobs', job.spec, 5000).then((o) => {
+      if (o?.status === 201 || o?.status === 200) {
+        job.accepted = true;
+        this.tell(id, job, o.body);
+        this.time.after(2000, () => this.keepPolling(id, job));
+      } else {
+        if (o?.status === 400 || o?.status === 422) this.rule('forgotten', `${id} got ${o.status}`);
+        this.time.after(1000, () => this.keepSubmitting(id, job));
+      }
+    });
+  }
+
+  private keepAborting(id: string, job: Known): void {
+    void this.ask('POST', `/v1/jobs/${id}/abort`, undefined, 5000).then((o) => {
+      if (o?.status === 200) this.tell(id, job, o.body);
+      else this.time.after(1000, () => this.keepAborting(id, job));
+    });
+  }
+
+  private keepPolling(id: string, job: Known): void {
+    void this.ask('GET', `/v1/jobs/${id}`, undefined, 2000).then((o) => {
+      if (o?.status === 404) this.rule('forgotten', id);
+      if (o?.status === 200) this.tell(id, job, o.body);
+      // Also after its end: the answer must stay.
+      this.time.after(this.isOver(job) ? 15_000 : 3000, () => this.keepPolling(id, job));
+    });
+  }
+
+  private tell(id: string, job: Known, body: unknown): void {
+    const status = (body as { status: string }).status;
+    if (job.told === 'done' || job.told === 'aborted') {
+      if (status !== job.told) this.rule('went_back', `${id} was ${job.told}, is ${status}`);
+      return;
+    }
+    if (status === 'done' && job.completed.size < job.spec.entries) {
+      this.rule('not_done', `${id}: ${job.completed.size} of ${job.spec.entries}`);
+    }
+    if (status === 'aborted') {
+      if (!job.abortAsked) this.rule('went_back', `${id} was not cancelled by its user`);
+      job.abortedAt = this.time.now;
+    }
+    job.told = status;
+  }
+
+  private isOver(job: Known): boolean {
+    return job.told === 'done' || job.told === 'aborted';
+  }
+
+  /** Jobs that have not come to their end. */
+  unfinished(): string[] {
+    return [...this.jobs].filter(([, j]) => !this.isOver(j)).map(([id, j]) => `${id} ${j.told}`);
+  }
+
+  /** Asks for a job that nobody submitted. */
+  probeUnknown(): void {
+    void this.ask('GET', '/v1/jobs/run-999999', undefined, 2000).then((o) => {
+      if (o?.status === 200) this.rule('invented', 'run-999999');
+    });
+  }
+}
