--- a/src/capacity/keeper.ts
+++ b/src/capacity/keeper.ts
@@ -5,6 +5,7 @@
 import type { Catalog } from '../cloud/catalog.js';
 import type { Machine } from '../fleet/machine.js';
 import type { Job } from '../ledger/job.js';
+import { dueBy } from '../ledger/queue.js';
 import type { Size } from '../placer/placer.js';
 import { Backoff } from '../store/budget.js';
 import {
@@ -59,6 +60,13 @@
 const REFUSED_FIRST = seconds(8);
 const REFUSED_MOST = seconds(60);
 const MOST_NEW = 12;
+/** Less time than this to spare makes a job pressing, and so does a wait as long as this. */
+const PRESSING = seconds(8);
+const NEGLECTED = seconds(180);
+/** An ordinary machine without work goes back sooner: it costs a multiple of a cheap one. */
+const DEAR_IDLE_SHARE = 0.25;
+/** A machine is charged for this long at least. */
+const LEAST_CHARGE = seconds(60);
 
 /**
  * Rents and gives back. One cloud call at a time, the most useful first; a call that was not
@@ -163,6 +171,7 @@
         for (const id of result.machines) {
           if (this.fleet.isGone(id)) continue;
           const m = this.fleet.meet(id, offer, '');
+          m.rentedAt ??= now;
           if (!m.up) m.bootingSince ??= now;
         }
         if (result.machines.length < hire.how_many) this.refuse(offerKey(offer), now);
@@ -205,6 +214,7 @@
       builds: job.spec.builds,
       hall: job.spec.hall,
       spot: job.spec.loaners,
+      pressing: this.pressing(job),
     }));
     if (demands.length === 0) return [];
     const coming: Coming[] = [];
@@ -233,6 +243,16 @@
     return plan(demands, coming, this.catalog.all(), this.refused(now), MOST_NEW);
   }
 
+  /** Whether a job would be late if it did not get a machine that is rented now. */
+  private pressing(job: Job): boolean {
+    const wall = this.deps.clock.wall();
+    const run = job.spec.expected_s * 1000;
+    const ready = Math.max(0, ...this.catalog.all().map((f) => f.ready_s)) * 1000;
+    const slack = dueBy(job, this.deps.settings.objectives, wall) - wall - run * 1.3 - ready * 1.2;
+    const lost = slack < -run - ready * 1.2;
+    return (slack < PRESSING && !lost) || wall - job.submitted > NEGLECTED;
+  }
+
   /** Machines to be deleted at once: never booted, failed, vanished, or silent with tasks. */
   private lost(now: SteadyMs): Machine[] {
     const out: Machine[] = [];
@@ -263,7 +283,9 @@
     const out: Machine[] = [];
     for (const m of this.fleet.machines.values()) {
       if (!m.up || m.assigned.size > 0 || m.idleSince === undefined) continue;
-      if (since(m.idleSince, now) < this.deps.operator.idle) continue;
+      const patience = this.deps.operator.idle * (m.place.spot ? 1 : DEAR_IDLE_SHARE);
+      if (since(m.idleSince, now) < patience) continue;
+      if (m.rentedAt !== undefined && since(m.rentedAt, now) < LEAST_CHARGE) continue;
       const used = this.fleet.used(m);
       if (used && used.cpus === 0) out.push(m);
     }
@@ -309,6 +331,7 @@
       box.addr,
     );
     m.listedAt ??= now;
+    m.rentedAt ??= later(now, ms(-box.age_s * 1000));
     if (box.status === 'failed') {
       // It stopped on its own: its tasks are gone. The delete only takes it off the list.
       m.returning = true;
--- a/src/capacity/planner.ts
+++ b/src/capacity/planner.ts
@@ -19,6 +19,8 @@
   readonly builds: readonly string[] | null;
   readonly hall: string | null;
   readonly spot: boolean;
+  /** It would be late if it waited for what runs to end: ordinary machines may be rented for it. */
+  readonly pressing: boolean;
 }
 
 export interface Coming extends Offer {
@@ -110,6 +112,8 @@
       for (const spot of [true, false]) {
         const offer = { build: flavor.name, hall, spot };
         if (!allows(d, offer) || refused.has(offerKey(offer))) continue;
+        // Ordinary machines cost a multiple: work that can wait for a cheap one does.
+        if (!spot && d.spot && !d.pressing) continue;
         const price = spot ? flavor.spot_price : flavor.rate;
         // What is left over on a machine serves others, but counts for less than what is used.
         const slots = perMachine(size, d.size);
--- a/src/fleet/machine.ts
+++ b/src/fleet/machine.ts
@@ -67,6 +67,7 @@
   returning = false;
   /** A delete was sent and may be carried out at any time. */
   deleteSent = false;
+  rentedAt: SteadyMs | undefined;
   listedAt: SteadyMs | undefined;
   missedLists = 0;
   bootingSince: SteadyMs | undefined;
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -39,7 +39,7 @@
 } from '../units/index.js';
 import { Beat, type BeatReply, type Entry, type JobSpec, type Order } from '../wire/index.js';
 import type { Catalog } from '../cloud/catalog.js';
-import { compare, placeInQueue } from './queue.js';
+import { compare, placeInQueue } from '../ledger/queue.js';
 
 const TICK = ms(500);
 const COMMAND_TIMEOUT = ms(2500);
@@ -717,6 +717,7 @@
           gpus: total.gpus - used.gpus,
           ramGb: total.ramGb - used.ramGb,
         },
+        rate: (m.place.spot ? flavor.spot_price : flavor.rate) / flavor.vcpus,
         fetchGbPerS: flavor.fetch_gb_per_s,
         holds: (image) => m.images.has(image),
         fetching: this.fetching(m),
--- a/src/leader/queue.ts
+++ b/src/ledger/queue.ts
@@ -1,4 +1,4 @@
-import type { Job } from '../ledger/job.js';
+import type { Job } from './job.js';
 import type { Objective } from '../config/settings.js';
 import { seconds, type DurationMs, type WallMs } from '../units/index.js';
 import type { Urgency } from '../wire/index.js';
--- a/src/placer/placer.ts
+++ b/src/placer/placer.ts
@@ -18,6 +18,8 @@
   readonly spot: boolean;
   readonly total: Size;
   readonly free: Size;
+  /** What a processor of it costs an hour. */
+  readonly rate: number;
   readonly fetchGbPerS: number;
   readonly holds: (image: string) => boolean;
   /** Images under way to it. */
@@ -66,6 +68,8 @@
 }
 
 const EPS = 1e-6;
+/** Prices of one kind move by up to a third each way; only a larger difference is one of kind. */
+const DEARER = 1.8;
 
 export const fits = (size: Size, room: Size): boolean =>
   size.cpus <= room.cpus + EPS && size.gpus <= room.gpus + EPS && size.ramGb <= room.ramGb + EPS;
@@ -145,8 +149,13 @@
   return out;
 }
 
-/** Among equals: the smaller type, so that the large ones stay whole for large tasks; then the freest. */
+/**
+ * Among equals: the cheaper kind, so that dear machines empty and can be given back; the smaller
+ * type, so that the large ones stay whole for large tasks; then the freest.
+ */
 function better(a: Slot, b: Slot): boolean {
+  const dearer = a.host.rate / b.host.rate;
+  if (dearer > DEARER || dearer < 1 / DEARER) return dearer < 1;
   if (a.host.total.cpus !== b.host.total.cpus) return a.host.total.cpus < b.host.total.cpus;
   if (a.cpus !== b.cpus) return a.cpus > b.cpus;
   return a.host.id < b.host.id;
--- a/test/unit/placer.test.ts
+++ b/test/unit/placer.test.ts
@@ -14,6 +14,7 @@
     spot: true,
     total,
     free: total,
+    rate: 0.02,
     fetchGbPerS: 0.5,
     holds: (image) => (change.images ?? []).includes(image),
     fetching: new Set(),
