--- a/src/capacity/keeper.ts
+++ b/src/capacity/keeper.ts
@@ -10,6 +10,7 @@
 import { Backoff } from '../store/budget.js';
 import {
   MachineId,
+  SteadyMs,
   later,
   ms,
   seconds,
@@ -18,7 +19,6 @@
   type DurationMs,
   type Epoch,
   type Random,
-  type SteadyMs,
 } from '../units/index.js';
 import type { Box, Hire } from '../wire/index.js';
 import { offerKey, plan, type Coming, type Demand, type Plan } from './planner.js';
@@ -27,6 +27,8 @@
 export interface FleetView {
   readonly machines: ReadonlyMap<MachineId, Machine>;
   readonly silentAfter: DurationMs;
+  /** Since when reports are answered without a break. */
+  readonly listeningSince: SteadyMs;
   queue(): Job[];
   used(m: Machine): Size | undefined;
   meet(id: MachineId, place: Machine['place'], addr: string): Machine;
@@ -268,9 +270,11 @@
         out.push(m);
         continue;
       }
-      if (m.lastHeard === undefined) continue;
+      const heard = m.lastHeard ?? m.runsSince;
+      if (heard === undefined) continue;
       up++;
-      const quiet = since(m.lastHeard, now);
+      // Silence counts only while we listened: not before we led, nor while we answered 503.
+      const quiet = since(SteadyMs(Math.max(heard, this.fleet.listeningSince)), now);
       if (m.missedLists >= 2 && quiet > this.fleet.silentAfter) out.push(m);
       else if (quiet > this.deps.settings.workers.report * SILENT_REPORTS) silent.push(m);
     }
@@ -337,7 +341,12 @@
       m.returning = true;
       m.deleteSent = true;
     } else if (!m.up && m.lastHeard === undefined) {
-      m.bootingSince ??= later(now, ms(-box.age_s * 1000));
+      // One that runs has booted long ago and is only not heard from by us yet: after a takeover
+      // that is the whole fleet, and none of it may be given up for a boot that took too long.
+      if (box.status === 'running') {
+        m.bootingSince = undefined;
+        m.runsSince ??= now;
+      } else m.bootingSince ??= later(now, ms(-box.age_s * 1000));
     }
   }
 }
--- a/src/fleet/machine.ts
+++ b/src/fleet/machine.ts
@@ -71,6 +71,8 @@
   listedAt: SteadyMs | undefined;
   missedLists = 0;
   bootingSince: SteadyMs | undefined;
+  /** First listed as running, without having been heard from. */
+  runsSince: SteadyMs | undefined;
   idleSince: SteadyMs | undefined;
   /** Refused or failed starts hold the machine back for a while. */
   heldUntil = 0 as SteadyMs;
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -91,6 +91,8 @@
   private readonly strays = new Map<TaskKey, Set<MachineId>>();
   private readonly began: SteadyMs;
   private ready = false;
+  private ruled = true;
+  private listening: SteadyMs;
   private closed = false;
   private placing = false;
   private ticker: Timer | undefined;
@@ -102,6 +104,7 @@
     private readonly deps: TermDeps,
   ) {
     this.began = deps.clock.steady();
+    this.listening = this.began;
     this.ledger = new Ledger(
       deps.store,
       epoch,
@@ -131,8 +134,8 @@
     return this.ready;
   }
 
-  get beganAt(): SteadyMs {
-    return this.began;
+  get listeningSince(): SteadyMs {
+    return this.listening;
   }
 
   close(): void {
@@ -177,9 +180,15 @@
   private tick(): void {
     if (this.closed) return;
     try {
+      // While authority has lapsed nobody is heard, and nothing follows from that.
+      const ruling = this.deps.authority() === this.epoch;
+      if (ruling && !this.ruled) this.listening = this.deps.clock.steady();
+      this.ruled = ruling;
       this.expire();
-      this.place();
-      this.capacity.tick();
+      if (ruling) {
+        this.place();
+        this.capacity.tick();
+      }
       this.ledger.kick();
     } catch (e) {
       this.deps.log.error({ err: e }, 'tick failed');
@@ -383,6 +392,7 @@
       const mine = p !== undefined && p.machine === m.id && p.attempt === e.try;
       if (e.status !== 'exited') {
         if (mine) {
+          if (e.status === 'running' && !p.ran && job) this.noteStart(job, ref.index, p, m);
           p.seen = true;
           if (e.status === 'running' && job) m.images.use(job.spec.bundle, job.spec.size_gb);
         } else this.stray(key, m.id);
@@ -430,6 +440,24 @@
     } else m.idleSince ??= now;
   }
 
+  /** For those who ask where the time went between a submission and its start. */
+  private noteStart(job: Job, index: number, p: Placement, m: Machine): void {
+    p.ran = true;
+    const { clock, log } = this.deps;
+    log.debug(
+      {
+        job: job.id,
+        index,
+        machine: m.id,
+        docket: job.spec.docket,
+        sinceSubmitMs: Math.round(clock.wall() - job.submitted),
+        sincePlacedMs: Math.round(since(p.at, clock.steady())),
+        hadImage: p.hadImage,
+      },
+      'running',
+    );
+  }
+
   private failed(m: Machine, job: Job, index: number, e: Entry, now: SteadyMs): void {
     this.unplace(job, index, e.cause ?? 'exited');
     switch (e.cause) {
@@ -683,7 +711,9 @@
       job.place(tasks, now);
       for (const { index } of tasks) {
         const p = job.placed.get(index);
-        if (p) this.assign(job, index, p);
+        if (!p) continue;
+        this.assign(job, index, p);
+        p.hadImage = this.machines.get(p.machine)?.images.has(job.spec.bundle) ?? false;
       }
       if (job.spec.together) {
         const first = tasks[0] && this.machines.get(tasks[0].machine);
