Room kept for urgent work on holders of its image; image hints to the other nodes

Cause: urgent tasks found the machines that hold their image full and had to fetch elsewhere, and after takeovers the new leader did not know who holds what.

--- a/src/api/service.ts
+++ b/src/api/service.ts
@@ -70,6 +70,7 @@
     private readonly peers: ReadonlyMap<NodeId, Peer>,
     private readonly clock: Clock,
     private readonly log: Logger,
+    private readonly onHints: (body: Buffer) => void,
   ) {}
 
   /** The term under which we may answer at this moment. */
@@ -344,6 +345,10 @@
       case 'ping':
         reply = { status: 200 };
         break;
+      case 'hints':
+        this.onHints(request.body);
+        reply = { status: 200 };
+        break;
       case 'notice': {
         const term = this.ruling();
         if (term?.isReady) await term.find(JobId(request.path));
--- a/src/fleet/images.ts
+++ b/src/fleet/images.ts
@@ -24,6 +24,10 @@
     }
   }
 
+  list(): [string, number][] {
+    return [...this.held];
+  }
+
   has(image: string): boolean {
     return this.held.has(image);
   }
--- a/src/fleet/machine.ts
+++ b/src/fleet/machine.ts
@@ -83,6 +83,8 @@
   /** Attempts whose start was sent directly and not answered: it may still arrive. */
   readonly doubts = new Set<string>();
   readonly images: ImageCache;
+  /** What another leader knew of its images has been taken in. */
+  hinted = false;
 
   constructor(
     readonly id: MachineId,
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -38,10 +38,12 @@
   type Timer,
 } from '../units/index.js';
 import { Beat, type BeatReply, type Entry, type JobSpec, type Order } from '../wire/index.js';
+import { UrgentWork } from './urgent.js';
 import type { Catalog } from '../cloud/catalog.js';
 import { compare, placeInQueue } from '../ledger/queue.js';
 
 const TICK = ms(500);
+const HINTS_EVERY = seconds(4);
 const COMMAND_TIMEOUT = ms(2500);
 /** After an unanswered command a machine gets its orders by report for a while. */
 const DIRECT_PAUSE = seconds(8);
@@ -56,6 +58,9 @@
 /** Orders that fit a response to a worker with room to spare. */
 const MAX_ORDERS = 300;
 
+/** By machine: its images and their sizes, least lately used first. Worth time, never correctness. */
+export type Hints = Record<string, [image: string, gb: number][]>;
+
 export interface TermDeps {
   readonly settings: Settings;
   readonly operator: OperatorSettings;
@@ -70,6 +75,9 @@
   /** The epoch if we may act under it at this moment. */
   readonly authority: () => Epoch | undefined;
   readonly deposed: (epoch: Epoch) => void;
+  /** The images on machines as the leader before told them; and how to tell the other nodes. */
+  readonly hints: Hints;
+  readonly tellHints: (hints: Hints) => void;
 }
 
 export type Answer =
@@ -90,12 +98,15 @@
   /** Attempts on machines that no placement accounts for: they must be gone before the task starts again. */
   private readonly strays = new Map<TaskKey, Set<MachineId>>();
   private readonly began: SteadyMs;
+  /** What the images on machines were thought to be by the leader before. */
+  private hintsSent: SteadyMs;
   private ready = false;
   private ruled = true;
   private listening: SteadyMs;
   private closed = false;
   private placing = false;
   private ticker: Timer | undefined;
+  private readonly urgent = new UrgentWork();
   private readonly pushes = new Set<Machine>();
   private pushing = false;
 
@@ -105,6 +116,7 @@
   ) {
     this.began = deps.clock.steady();
     this.listening = this.began;
+    this.hintsSent = this.began;
     this.ledger = new Ledger(
       deps.store,
       epoch,
@@ -186,6 +198,7 @@
       this.ruled = ruling;
       this.expire();
       if (ruling) {
+        this.sendHints();
         this.place();
         this.capacity.tick();
       }
@@ -196,11 +209,22 @@
     this.ticker = this.deps.clock.after(TICK, () => this.tick());
   }
 
+  /** The other nodes get to know what only this leader remembers, in case one takes over. */
+  private sendHints(): void {
+    const now = this.deps.clock.steady();
+    if (since(this.hintsSent, now) < HINTS_EVERY) return;
+    this.hintsSent = now;
+    const images: Hints = {};
+    for (const m of this.machines.values()) if (m.up) images[m.id] = m.images.list();
+    this.deps.tellHints(images);
+  }
+
   // --- jobs -------------------------------------------------------------------------------------
 
   /** Takes a job that the store holds into the ledger, and its placements onto their machines. */
   private admit(job: Job): void {
     this.ledger.insert(job);
+    this.urgent.note(job.spec, this.deps.clock.steady());
     for (const [index, p] of job.placed) this.assign(job, index, p);
     if (job.settled) job.touch(Press.finish);
   }
@@ -267,6 +291,7 @@
     const job = new Job(id, spec, this.deps.clock.wall(), 0 as never);
     job.touch(Press.intake);
     this.ledger.insert(job);
+    this.urgent.note(spec, this.deps.clock.steady());
     const ok = await this.ledger.written(job);
     const now = this.known(id);
     if (now?.kind === 'final') return now;
@@ -372,6 +397,10 @@
       m.place = place;
       m.images.resize(cache);
     }
+    if (cache > 0 && !m.hinted) {
+      m.hinted = true;
+      for (const [image, gb] of this.deps.hints[id] ?? []) m.images.use(image, gb);
+    }
     if (addr !== '') m.addr = Endpoint(addr);
     return m;
   }
@@ -697,7 +726,9 @@
     const hosts = this.hosts(now);
     if (hosts.length === 0) return;
     const wants = queue.map((job) => this.want(job));
-    const result = placeTasks(wants, hosts, this.teamRoom(), MOST_PER_ROUND);
+    const fleet = hosts.reduce((n, h) => n + h.total.cpus, 0);
+    const reserve = this.urgent.reserve(fleet, now);
+    const result = placeTasks(wants, hosts, this.teamRoom(), MOST_PER_ROUND, reserve);
     if (result.length === 0) return;
     const byJob = new Map<JobId, { index: number; machine: MachineId }[]>();
     for (const a of result) {
@@ -824,6 +855,7 @@
       inZone,
       indexes: this.placeable(job, room),
       avoid: job.faultyOn,
+      urgent: UrgentWork.is(spec),
     };
   }
 
--- a/src/node.ts
+++ b/src/node.ts
@@ -1,4 +1,5 @@
 import type { Logger } from 'pino';
+import { z } from 'zod';
 import type { OperatorSettings } from './config/operator.js';
 import type { Settings } from './config/settings.js';
 import { Service } from './api/service.js';
@@ -6,15 +7,18 @@
 import { CloudClient } from './cloud/client.js';
 import { StoreFront } from './ledger/front.js';
 import { Election } from './leader/election.js';
-import { Term } from './leader/term.js';
+import { Term, type Hints } from './leader/term.js';
 import type { HttpClient } from './net/http.js';
 import type { Peer } from './peer/channel.js';
 import { StoreClient } from './store/client.js';
 import { ms, seconds, sleep, type Clock, type NodeId, type Random } from './units/index.js';
+import { MAX_BODY, decode, encode } from './wire/index.js';
 
 const CATALOG_KEY = 'catalog';
 const CATALOG_EVERY = seconds(60);
 const STORE_TIMEOUT = ms(2000);
+const HINTS_TIMEOUT = ms(1000);
+const HintsBody = z.record(z.string(), z.array(z.tuple([z.string(), z.number()])));
 
 export interface World {
   readonly clock: Clock;
@@ -33,6 +37,7 @@
   private readonly store: StoreClient;
   private readonly catalog = new Catalog();
   private term: Term | undefined;
+  private hints: Hints = {};
   private stopped = false;
 
   constructor(
@@ -74,6 +79,8 @@
             log: log.child({ epoch }),
             authority: () => this.election.authority(),
             deposed: (e) => this.election.deposed(e),
+            hints: this.hints,
+            tellHints: (hints) => this.tellHints(hints),
           });
           term.capacity.onCatalog = () => void this.keepCatalog();
           this.term = term;
@@ -95,9 +102,26 @@
       world.peers,
       clock,
       log,
+      (body) => this.takeHints(body),
     );
   }
 
+  private takeHints(body: Buffer): void {
+    const parsed = HintsBody.safeParse(decode(body));
+    if (parsed.success) this.hints = parsed.data;
+  }
+
+  private tellHints(hints: Hints): void {
+    this.hints = hints;
+    const body = encode(hints);
+    // A frame holds a little more than 64 KiB; hints that do not fit are done without.
+    if (body.length > MAX_BODY) return;
+    for (const peer of this.world.peers.values()) {
+      if (!peer.responsive) continue;
+      void peer.ask({ kind: 'hints', method: '', path: '', body }, HINTS_TIMEOUT);
+    }
+  }
+
   start(): void {
     void this.election.serve();
     void this.readCatalog();
--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -5,7 +5,7 @@
  * What passes between the service's own processes: requests that one node makes of another, and
  * their answers, as avro records in frames of a 4-byte length.
  */
-export type Kind = 'user' | 'beat' | 'notice' | 'ping';
+export type Kind = 'user' | 'beat' | 'notice' | 'ping' | 'hints';
 
 export interface Ask {
   readonly id: number;
@@ -29,7 +29,7 @@
     { name: 'id', type: 'int' },
     {
       name: 'kind',
-      type: { type: 'enum', name: 'Kind', symbols: ['user', 'beat', 'notice', 'ping'] },
+      type: { type: 'enum', name: 'Kind', symbols: ['user', 'beat', 'notice', 'ping', 'hints'] },
     },
     { name: 'method', type: 'string' },
     { name: 'path', type: 'string' },
--- a/src/placer/placer.ts
+++ b/src/placer/placer.ts
@@ -46,8 +46,16 @@
   readonly indexes: Iterable<number>;
   /** Machines it must not go to. */
   readonly avoid: ReadonlySet<MachineId>;
+  /** Too urgent to be held to the reserve. */
+  readonly urgent: boolean;
 }
 
+/**
+ * Room kept for urgent work to come, by image: on the machines that hold the image, less urgent
+ * tasks leave so many processors free, so that an urgent one starts without waiting or fetching.
+ */
+export type Reserve = ReadonlyMap<string, number>;
+
 export interface TeamRoom {
   cpus: number;
   gpus: number;
@@ -98,6 +106,7 @@
   hosts: readonly Host[],
   teams: ReadonlyMap<string, TeamRoom>,
   most: number,
+  reserve: Reserve = new Map(),
 ): Assignment[] {
   const slots: Slot[] = hosts.map((host) => ({
     host,
@@ -106,6 +115,18 @@
     ramGb: host.free.ramGb,
     coming: new Set(host.fetching),
   }));
+  const headroom = new Map<string, number>();
+  for (const image of reserve.keys()) {
+    let free = 0;
+    for (const s of slots) if (s.host.holds(image)) free += s.cpus;
+    headroom.set(image, free);
+  }
+  const spare = (slot: Slot, cpus: number): boolean => {
+    for (const [image, kept] of reserve) {
+      if (slot.host.holds(image) && (headroom.get(image) ?? 0) - cpus < kept) return false;
+    }
+    return true;
+  };
   const out: Assignment[] = [];
   for (const want of wants) {
     if (out.length >= most) break;
@@ -124,6 +145,7 @@
       let bestDelay = 0;
       for (const slot of allowed) {
         if (!fits(want.size, slot)) continue;
+        if (!want.urgent && !spare(slot, want.size.cpus)) continue;
         if (want.together && zone !== undefined && slot.host.hall !== zone) continue;
         if ((inZone.get(slot.host.hall) ?? 0) >= want.perZone) continue;
         const d = delay(want, slot);
@@ -133,6 +155,10 @@
         }
       }
       if (!best) break;
+      for (const image of reserve.keys()) {
+        if (best.host.holds(image))
+          headroom.set(image, (headroom.get(image) ?? 0) - want.size.cpus);
+      }
       best.cpus -= want.size.cpus;
       best.gpus -= want.size.gpus;
       best.ramGb -= want.size.ramGb;
--- a/test/unit/placer.test.ts
+++ b/test/unit/placer.test.ts
@@ -36,6 +36,7 @@
   inZone: new Map(),
   indexes: Array.from({ length: count }, (_, i) => i),
   avoid: new Set(),
+  urgent: false,
   ...change,
 });
 
