--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -854,6 +854,7 @@
       perZone,
       inZone,
       indexes: this.placeable(job, room),
+      count: job.waiting.size,
       avoid: job.faultyOn,
       urgent: UrgentWork.is(spec),
     };
--- a/src/placer/placer.ts
+++ b/src/placer/placer.ts
@@ -44,6 +44,8 @@
   readonly inZone: ReadonlyMap<string, number>;
   /** The waiting tasks that may be placed now, lowest index first. */
   readonly indexes: Iterable<number>;
+  /** How many tasks wait in all. */
+  readonly count: number;
   /** Machines it must not go to. */
   readonly avoid: ReadonlySet<MachineId>;
   /** Too urgent to be held to the reserve. */
@@ -73,6 +75,7 @@
   gpus: number;
   ramGb: number;
   readonly coming: Set<string>;
+  claimed: boolean;
 }
 
 const EPS = 1e-6;
@@ -114,26 +117,30 @@
     gpus: host.free.gpus,
     ramGb: host.free.ramGb,
     coming: new Set(host.fetching),
+    claimed: false,
   }));
+  // The large machines are left out: what only they can run would pay for it.
+  const smallest = Math.min(...hosts.map((h) => h.total.cpus));
+  const keeps = (s: Slot, image: string): boolean =>
+    s.host.total.cpus === smallest && s.host.holds(image);
   const headroom = new Map<string, number>();
   for (const image of reserve.keys()) {
     let free = 0;
-    for (const s of slots) if (s.host.holds(image)) free += s.cpus;
+    for (const s of slots) if (keeps(s, image)) free += s.cpus;
     headroom.set(image, free);
   }
   const spare = (slot: Slot, cpus: number): boolean => {
     for (const [image, kept] of reserve) {
-      if (slot.host.holds(image) && (headroom.get(image) ?? 0) - cpus < kept) return false;
+      if (keeps(slot, image) && (headroom.get(image) ?? 0) - cpus < kept) return false;
     }
     return true;
   };
   const out: Assignment[] = [];
   for (const want of wants) {
     if (out.length >= most) break;
-    const allowed = slots.filter(
-      (s) => allows(want, s.host) && !want.avoid.has(s.host.id) && fits(want.size, s),
-    );
-    if (allowed.length === 0) continue;
+    const suited = slots.filter((s) => allows(want, s.host) && !want.avoid.has(s.host.id));
+    const allowed = suited.filter((s) => fits(want.size, s) && !s.claimed);
+    let missing = want.count;
     const room = teams.get(want.team);
     const inZone = new Map(want.inZone);
     let zone = want.zone;
@@ -170,11 +177,27 @@
       if (want.together) zone = best.host.hall;
       inZone.set(best.host.hall, (inZone.get(best.host.hall) ?? 0) + 1);
       out.push({ job: want.id, index, machine: best.host.id });
+      missing--;
     }
+    claim(suited, want, missing);
   }
   return out;
 }
 
+/**
+ * A large task that found no room keeps one machine, the freest that could ever hold it, from those
+ * that come after it in the queue: small tasks would otherwise fill each gap before it is wide enough.
+ */
+function claim(suited: readonly Slot[], want: Want, missing: number): void {
+  const open = suited
+    .filter((s) => !s.claimed && !fits(want.size, s) && fits(want.size, s.host.total))
+    .sort((a, b) => b.cpus - a.cpus || (a.host.id < b.host.id ? -1 : 1));
+  for (const s of open.slice(0, missing)) {
+    if (want.size.cpus * 2 < s.host.total.cpus - EPS) continue;
+    s.claimed = true;
+  }
+}
+
 /**
  * Among equals: the cheaper kind, so that dear machines empty and can be given back; the smaller
  * type, so that the large ones stay whole for large tasks; then the freest.
--- a/test/unit/placer.test.ts
+++ b/test/unit/placer.test.ts
@@ -37,6 +37,7 @@
   indexes: Array.from({ length: count }, (_, i) => i),
   avoid: new Set(),
   urgent: false,
+  count,
   ...change,
 });
 
