--- a/src/capacity/keeper.ts
+++ b/src/capacity/keeper.ts
@@ -55,10 +55,10 @@
 /** A boot counts on its way for this many times the usual, and is given up after that many. */
 const BOOT_LATE = 2;
 const BOOT_LOST = 4;
-/** A silent machine with tasks is deleted after this many report periods: quicker than its lease. */
-const SILENT_REPORTS = 4.5;
-/** More than this share of the fleet silent at once is a cut, or our own trouble, not their end. */
-const SILENT_SHARE = 0.25;
+/** Periods of silence, in reports: of a machine that the list lacks, of one alone, behind a cut. */
+const VANISHED_REPORTS = 1.5;
+const SILENT_REPORTS = 2.75;
+const CUT_REPORTS = 7;
 const REFUSED_FIRST = seconds(8);
 const REFUSED_MOST = seconds(60);
 const MOST_NEW = 12;
@@ -258,8 +258,10 @@
   /** Machines to be deleted at once: never booted, failed, vanished, or silent with tasks. */
   private lost(now: SteadyMs): Machine[] {
     const out: Machine[] = [];
-    const silent: Machine[] = [];
-    let up = 0;
+    const report = this.deps.settings.workers.report;
+    const heard = new Map<string, number>();
+    const total = new Map<string, number>();
+    const silent: { m: Machine; quiet: number }[] = [];
     for (const m of this.fleet.machines.values()) {
       if (m.deleteSent) {
         out.push(m);
@@ -270,16 +272,23 @@
         out.push(m);
         continue;
       }
-      const heard = m.lastHeard ?? m.runsSince;
-      if (heard === undefined) continue;
-      up++;
+      const last = m.lastHeard ?? m.runsSince;
+      if (last === undefined) continue;
       // Silence counts only while we listened: not before we led, nor while we answered 503.
-      const quiet = since(SteadyMs(Math.max(heard, this.fleet.listeningSince)), now);
-      if (m.missedLists >= 2 && quiet > this.fleet.silentAfter) out.push(m);
-      else if (quiet > this.deps.settings.workers.report * SILENT_REPORTS) silent.push(m);
+      const quiet = since(SteadyMs(Math.max(last, this.fleet.listeningSince)), now);
+      const zone = m.place.hall;
+      total.set(zone, (total.get(zone) ?? 0) + 1);
+      if (m.missedLists >= 1 && quiet > report * VANISHED_REPORTS) out.push(m);
+      else if (quiet > report * SILENT_REPORTS) silent.push({ m, quiet });
+      else if (m.lastHeard !== undefined) heard.set(zone, (heard.get(zone) ?? 0) + 1);
+    }
+    for (const { m, quiet } of silent) {
+      const zone = m.place.hall;
+      // Where most of a zone is heard, a silent machine is dead. Where it is not, we may be cut off
+      // from it: its tasks run on, and its worker may yet reach us through another node.
+      const alone = 2 * (heard.get(zone) ?? 0) > (total.get(zone) ?? 0);
+      if (alone || !m.up || quiet > report * CUT_REPORTS) out.push(m);
     }
-    if (silent.length <= Math.max(1, up * SILENT_SHARE)) out.push(...silent);
-    else out.push(...silent.filter((m) => !m.up));
     return out.slice(0, MAX_DELETE);
   }
 
