--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -10,7 +10,7 @@
   readonly idle: DurationMs;
 }
 
-export const DEFAULTS = { leaseS: 4, renewS: 1.2, idleS: 40 };
+export const DEFAULTS = { leaseS: 4, renewS: 1.2, idleS: 20 };
 
 export const defaultOperator: OperatorSettings = {
   lease: seconds(DEFAULTS.leaseS),
--- a/src/placer/placer.ts
+++ b/src/placer/placer.ts
@@ -200,12 +200,12 @@
 
 /**
  * Among equals: the cheaper kind, so that dear machines empty and can be given back; the smaller
- * type, so that the large ones stay whole for large tasks; then the freest.
+ * type, so that the large ones stay whole for large tasks; then the fullest, so that others empty.
  */
 function better(a: Slot, b: Slot): boolean {
   const dearer = a.host.rate / b.host.rate;
   if (dearer > DEARER || dearer < 1 / DEARER) return dearer < 1;
   if (a.host.total.cpus !== b.host.total.cpus) return a.host.total.cpus < b.host.total.cpus;
-  if (a.cpus !== b.cpus) return a.cpus > b.cpus;
+  if (a.cpus !== b.cpus) return a.cpus < b.cpus;
   return a.host.id < b.host.id;
 }
