--- a/src/capacity/keeper.ts
+++ b/src/capacity/keeper.ts
@@ -6,7 +6,7 @@
 import type { Machine } from '../fleet/machine.js';
 import type { Job } from '../ledger/job.js';
 import { dueBy } from '../ledger/queue.js';
-import type { Size } from '../placer/placer.js';
+import { fits, type Size } from '../placer/placer.js';
 import { Backoff } from '../store/budget.js';
 import {
   MachineId,
@@ -18,9 +18,10 @@
   type Clock,
   type DurationMs,
   type Epoch,
+  type JobId,
   type Random,
 } from '../units/index.js';
-import type { Box, Hire } from '../wire/index.js';
+import type { Box, Hire, JobSpec } from '../wire/index.js';
 import { offerKey, plan, type Coming, type Demand, type Plan } from './planner.js';
 
 /** What the keeper sees of the fleet, and does to it. */
@@ -31,6 +32,7 @@
   readonly listeningSince: SteadyMs;
   queue(): Job[];
   used(m: Machine): Size | undefined;
+  spec(job: JobId): JobSpec | undefined;
   meet(id: MachineId, place: Machine['place'], addr: string): Machine;
   isGone(id: MachineId): boolean;
   removed(m: Machine, why: string): void;
@@ -62,8 +64,9 @@
 const REFUSED_FIRST = seconds(8);
 const REFUSED_MOST = seconds(60);
 const MOST_NEW = 12;
-/** Less time than this to spare makes a job pressing, and so does a wait as long as this. */
-const PRESSING = seconds(8);
+/** A machine is rented for a wait of at least this many boot times. */
+const WORTH_BOOTING = 0.7;
+/** A job that has waited this long is pressing whatever its deadline. */
 const NEGLECTED = seconds(180);
 /** An ordinary machine without work goes back sooner: it costs a multiple of a cheap one. */
 const DEAR_IDLE_SHARE = 0.25;
@@ -210,14 +213,9 @@
   }
 
   private wanted(now: SteadyMs): Plan[] {
-    const demands: Demand[] = this.fleet.queue().map((job) => ({
-      size: { cpus: job.spec.vcpus, gpus: job.spec.gpus, ramGb: job.spec.ram_gb },
-      count: job.waiting.size,
-      builds: job.spec.builds,
-      hall: job.spec.hall,
-      spot: job.spec.loaners,
-      pressing: this.pressing(job),
-    }));
+    const queue = this.fleet.queue();
+    if (queue.length === 0) return [];
+    const demands = this.demands(queue);
     if (demands.length === 0) return [];
     const coming: Coming[] = [];
     for (const m of this.fleet.machines.values()) {
@@ -245,14 +243,66 @@
     return plan(demands, coming, this.catalog.all(), this.refused(now), MOST_NEW);
   }
 
-  /** Whether a job would be late if it did not get a machine that is rented now. */
-  private pressing(job: Job): boolean {
+  /**
+   * What of the queue is worth new machines. A job that is served by what runs now before a new
+   * machine could be up needs none; one that would be late by waiting may cost more.
+   */
+  private demands(queue: readonly Job[]): Demand[] {
     const wall = this.deps.clock.wall();
-    const run = job.spec.expected_s * 1000;
-    const ready = Math.max(0, ...this.catalog.all().map((f) => f.ready_s)) * 1000;
-    const slack = dueBy(job, this.deps.settings.objectives, wall) - wall - run * 1.3 - ready * 1.2;
-    const lost = slack < -run - ready * 1.2;
-    return (slack < PRESSING && !lost) || wall - job.submitted > NEGLECTED;
+    const turnover = this.turnover();
+    const out: Demand[] = [];
+    let ahead = 0;
+    for (const job of queue) {
+      const { spec } = job;
+      const size: Size = { cpus: spec.vcpus, gpus: spec.gpus, ramGb: spec.ram_gb };
+      const ready = this.leastReady(size);
+      const run = spec.expected_s * 1000;
+      ahead += job.waiting.size * spec.vcpus;
+      const wait = (ahead / turnover(size)) * 1000;
+      if (wait < ready * WORTH_BOOTING) continue;
+      const due = dueBy(job, this.deps.settings.objectives, wall);
+      const slack = due - wall - run * 1.2;
+      const lost = slack < -run - ready;
+      const neglected = wall - job.submitted > NEGLECTED;
+      out.push({
+        size,
+        count: job.waiting.size,
+        builds: spec.builds,
+        hall: spec.hall,
+        spot: spec.loaners,
+        pressing: neglected || (!lost && wait > slack),
+      });
+    }
+    return out;
+  }
+
+  private leastReady(size: Size): number {
+    let least = Infinity;
+    for (const f of this.catalog.all()) {
+      const total: Size = { cpus: f.vcpus, gpus: f.gpus, ramGb: f.ram_gb };
+      if (fits(size, total)) least = Math.min(least, f.ready_s * 1000);
+    }
+    return Number.isFinite(least) ? least : 0;
+  }
+
+  /** Processors a second that come free on machines large enough for a size. */
+  private turnover(): (size: Size) => number {
+    const rates: { total: Size; rate: number }[] = [];
+    for (const m of this.fleet.machines.values()) {
+      const f = this.catalog.flavor(m.place.build);
+      if (!f || !m.up || m.draining || m.deleteSent) continue;
+      let rate = 0;
+      for (const a of m.assigned.values()) {
+        const spec = this.fleet.spec(a.job);
+        if (spec) rate += spec.vcpus / Math.max(1, spec.expected_s);
+      }
+      rates.push({ total: { cpus: f.vcpus, gpus: f.gpus, ramGb: f.ram_gb }, rate });
+    }
+    return (size) => {
+      let sum = 1e-6;
+      for (const r of rates) if (fits(size, r.total)) sum += r.rate;
+      return sum;
+    };
   }
 
   /** Machines to be deleted at once: never booted, failed, vanished, or silent with tasks. */
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -817,6 +817,10 @@
     return { cpus, gpus, ramGb };
   }
 
+  spec(id: JobId): JobSpec | undefined {
+    return this.ledger.jobs.get(id)?.spec;
+  }
+
   private fetching(m: Machine): Set<string> {
     const images = new Set<string>();
     for (const [key, a] of m.assigned) {
