--- a/src/capacity/keeper.ts
+++ b/src/capacity/keeper.ts
@@ -33,6 +33,8 @@
   queue(): Job[];
   used(m: Machine): Size | undefined;
   spec(job: JobId): JobSpec | undefined;
+  /** Urgent work that may be submitted next. */
+  expected(): { spec: JobSpec; count: number }[];
   meet(id: MachineId, place: Machine['place'], addr: string): Machine;
   isGone(id: MachineId): boolean;
   removed(m: Machine, why: string): void;
@@ -46,6 +48,13 @@
   readonly log: Logger;
 }
 
+const demandOf = (spec: JobSpec): Omit<Demand, 'count' | 'pressing'> => ({
+  size: { cpus: spec.vcpus, gpus: spec.gpus, ramGb: spec.ram_gb },
+  builds: spec.builds,
+  hall: spec.hall,
+  spot: spec.loaners,
+});
+
 interface Refusal {
   until: SteadyMs;
   times: number;
@@ -213,9 +222,11 @@
   }
 
   private wanted(now: SteadyMs): Plan[] {
-    const queue = this.fleet.queue();
-    if (queue.length === 0) return [];
-    const demands = this.demands(queue);
+    const demands = this.demands(this.fleet.queue());
+    // Room standing by for urgent work: last, and never at the price of ordinary machines.
+    for (const { spec, count } of this.fleet.expected()) {
+      demands.push({ ...demandOf(spec), count, pressing: false });
+    }
     if (demands.length === 0) return [];
     const coming: Coming[] = [];
     for (const m of this.fleet.machines.values()) {
@@ -259,17 +270,15 @@
       const run = spec.expected_s * 1000;
       ahead += job.waiting.size * spec.vcpus;
       const wait = (ahead / turnover(size)) * 1000;
-      if (wait < ready * WORTH_BOOTING) continue;
+      const patience = job.spec.urgency === 'prod' || job.spec.urgency === 'high' ? 0.25 : 1;
+      if (wait < ready * WORTH_BOOTING * patience) continue;
       const due = dueBy(job, this.deps.settings.objectives, wall);
       const slack = due - wall - run * 1.2;
       const lost = slack < -run - ready;
       const neglected = wall - job.submitted > NEGLECTED;
       out.push({
-        size,
+        ...demandOf(spec),
         count: job.waiting.size,
-        builds: spec.builds,
-        hall: spec.hall,
-        spot: spec.loaners,
         pressing: neglected || (!lost && wait > slack),
       });
     }
@@ -344,17 +353,44 @@
 
   private idle(now: SteadyMs): Machine[] {
     const out: Machine[] = [];
-    for (const m of this.fleet.machines.values()) {
+    let spare = this.freeCpus();
+    for (const { spec, count } of this.fleet.expected()) spare -= spec.vcpus * count;
+    const dearFirst = [...this.fleet.machines.values()].sort(
+      (a, b) => Number(a.place.spot) - Number(b.place.spot),
+    );
+    for (const m of dearFirst) {
       if (!m.up || m.assigned.size > 0 || m.idleSince === undefined) continue;
       const patience = this.deps.operator.idle * (m.place.spot ? 1 : DEAR_IDLE_SHARE);
       if (since(m.idleSince, now) < patience) continue;
       if (m.rentedAt !== undefined && since(m.rentedAt, now) < LEAST_CHARGE) continue;
       const used = this.fleet.used(m);
-      if (used && used.cpus === 0) out.push(m);
+      if (!used || used.cpus > 0) continue;
+      // Giving it back must not take the room that stands by for urgent work.
+      const cpus = this.catalog.flavor(m.place.build)?.vcpus ?? 0;
+      if (this.isSmallest(cpus)) {
+        if (spare < cpus) continue;
+        spare -= cpus;
+      }
+      out.push(m);
     }
     return out.slice(0, MAX_DELETE);
   }
 
+  private isSmallest(cpus: number): boolean {
+    return this.catalog.all().every((f) => f.vcpus >= cpus);
+  }
+
+  /** What is free on machines of the smallest type, which is where urgent work is expected. */
+  private freeCpus(): number {
+    let free = 0;
+    for (const m of this.fleet.machines.values()) {
+      const cpus = this.catalog.flavor(m.place.build)?.vcpus ?? 0;
+      if (!m.up || m.draining || !this.isSmallest(cpus)) continue;
+      free += cpus - (this.fleet.used(m)?.cpus ?? cpus);
+    }
+    return free;
+  }
+
   private async remove(machines: readonly Machine[]): Promise<boolean> {
     for (const m of machines) {
       m.returning = true;
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -817,6 +817,14 @@
     return { cpus, gpus, ramGb };
   }
 
+  expected(): { spec: JobSpec; count: number }[] {
+    let cpus = 0;
+    for (const m of this.machines.values()) {
+      if (m.up) cpus += this.deps.catalog.flavor(m.place.build)?.vcpus ?? 0;
+    }
+    return this.urgent.expected(cpus);
+  }
+
   spec(id: JobId): JobSpec | undefined {
     return this.ledger.jobs.get(id)?.spec;
   }
--- a/src/leader/urgent.ts
+++ b/src/leader/urgent.ts
@@ -4,13 +4,15 @@
 
 /** How much of a new submission counts in the running mean. */
 const WEIGHT = 0.2;
-const ROOM = 1.5;
+const ROOM = 2;
 /** An image without urgent work for this long gets no room. */
 const FORGET = seconds(180);
 /** The most of the fleet that is kept free. */
 const MOST_SHARE = 0.1;
 
 interface Seen {
+  /** Of the submission last seen: what kind of room is wanted. */
+  spec: JobSpec;
   mean: number;
   at: SteadyMs;
 }
@@ -28,6 +30,7 @@
     const cpus = s.entries * s.vcpus;
     const known = this.seen.get(s.bundle);
     this.seen.set(s.bundle, {
+      spec: s,
       mean: known ? known.mean + WEIGHT * (cpus - known.mean) : cpus,
       at: now,
     });
@@ -41,4 +44,13 @@
     }
     return out;
   }
+
+  /** The next submission of each kind, as it were: what room to have standing by for. */
+  expected(fleetCpus: number): { spec: JobSpec; count: number }[] {
+    const most = fleetCpus * MOST_SHARE;
+    return [...this.seen.values()].map(({ spec, mean }) => ({
+      spec,
+      count: Math.ceil(Math.min(mean, most) / spec.vcpus),
+    }));
+  }
 }
