--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -16,7 +16,7 @@
   toReport,
   type Report,
 } from '../fleet/machine.js';
-import { place as placeTasks, type Host, type Size, type Want } from '../placer/placer.js';
+import { allows, place as placeTasks, type Host, type Size, type Want } from '../placer/placer.js';
 import { CapacityKeeper } from '../capacity/keeper.js';
 import {
   Endpoint,
@@ -40,7 +40,7 @@
 import { Beat, type BeatReply, type Entry, type JobSpec, type Order } from '../wire/index.js';
 import { UrgentWork } from './urgent.js';
 import type { Catalog } from '../cloud/catalog.js';
-import { compare, placeInQueue } from '../ledger/queue.js';
+import { compare, placeInQueue, rankOf } from '../ledger/queue.js';
 
 const TICK = ms(500);
 const HINTS_EVERY = seconds(4);
@@ -55,6 +55,9 @@
 const FAULT_HOLD = seconds(15);
 const MAX_HOLD = seconds(240);
 const FULL_HOLD = seconds(2);
+/** Work that may be lost to make room for an urgent task, and how many are stopped at a time. */
+const MOST_LOST = seconds(8);
+const MOST_EVICTED = 8;
 /** Orders that fit a response to a worker with room to spare. */
 const MAX_ORDERS = 300;
 
@@ -472,6 +475,7 @@
   /** For those who ask where the time went between a submission and its start. */
   private noteStart(job: Job, index: number, p: Placement, m: Machine): void {
     p.ran = true;
+    p.ranSince = this.deps.clock.steady();
     const { clock, log } = this.deps;
     log.debug(
       {
@@ -553,6 +557,8 @@
         if (safe && !mine) out.push({ verb: 'clear', entry: e.entry, try: e.try });
       } else if (!mine || job?.aborted) {
         out.push({ verb: 'kill', entry: e.entry, try: e.try, wind_down_s: 0 });
+      } else if (p.evict !== undefined) {
+        out.push({ verb: 'kill', entry: e.entry, try: e.try, wind_down_s: p.evict });
       }
     }
     for (const [key, a] of m.assigned) {
@@ -618,6 +624,10 @@
         if (p.stopped || !(p.seen || p.pushed || p.sent || p.inherited)) continue;
         p.stopped = true;
         orders.push({ verb: 'kill', entry: key, try: a.attempt, wind_down_s: 0 });
+      } else if (p.evict !== undefined && p.seen) {
+        if (p.stopped) continue;
+        p.stopped = true;
+        orders.push({ verb: 'kill', entry: key, try: a.attempt, wind_down_s: p.evict });
       } else if (!p.seen && !p.pushed && !p.sent && !p.inherited && !m.draining) {
         p.pushed = true;
         // Until it is answered the start may arrive at any time.
@@ -728,8 +738,9 @@
     const wants = queue.map((job) => this.want(job));
     const fleet = hosts.reduce((n, h) => n + h.total.cpus, 0);
     const reserve = this.urgent.reserve(fleet, now);
+    for (const job of queue) this.regroup(job);
     const result = placeTasks(wants, hosts, this.teamRoom(), MOST_PER_ROUND, reserve);
-    if (result.length === 0) return;
+    if (result.length < MOST_PER_ROUND) this.makeRoom(queue, result, now);
     const byJob = new Map<JobId, { index: number; machine: MachineId }[]>();
     for (const a of result) {
       const list = byJob.get(a.job) ?? [];
@@ -755,6 +766,64 @@
     this.ledger.kick();
   }
 
+  /** The rest of a gang that lost a part can't go on without it. */
+  private regroup(job: Job): void {
+    if (job.spec.shape !== 'ensemble' || job.placed.size === 0) return;
+    for (const p of job.placed.values()) this.evict(p, job.spec);
+  }
+
+  private evict(p: Placement, spec: JobSpec): void {
+    if (p.evict !== undefined) return;
+    p.evict = spec.stamp_every_s > 0 ? spec.stamp_s : 0;
+    this.push(p.machine);
+  }
+
+  /**
+   * Urgent tasks that found no room take that of less urgent ones which have only just begun, so
+   * that little work is lost. What is stopped waits again, behind them in the queue.
+   */
+  private makeRoom(queue: readonly Job[], placed: readonly { job: JobId }[], now: SteadyMs): void {
+    let budget = MOST_EVICTED;
+    for (const job of queue) {
+      if (budget <= 0 || !UrgentWork.is(job.spec)) return;
+      const left = job.waiting.size - placed.filter((a) => a.job === job.id).length;
+      let cpus = left * job.spec.vcpus - this.comingFree;
+      if (left <= 0 || cpus <= 0) continue;
+      const victims: { p: Placement; spec: JobSpec; lost: number; holds: boolean }[] = [];
+      for (const other of this.ledger.jobs.values()) {
+        if (rankOf(other.spec.urgency) <= rankOf(job.spec.urgency)) continue;
+        if (other.aborted || other.spec.shape !== 'sweep') continue;
+        for (const p of other.placed.values()) {
+          const m = this.machines.get(p.machine);
+          if (!m?.up || m.draining || p.ranSince === undefined || p.evict !== undefined) continue;
+          const lost = since(p.ranSince, now);
+          if (lost > MOST_LOST || !this.suits(job.spec, m)) continue;
+          victims.push({ p, spec: other.spec, lost, holds: m.images.has(job.spec.bundle) });
+        }
+      }
+      victims.sort((a, b) => Number(b.holds) - Number(a.holds) || a.lost - b.lost);
+      for (const v of victims) {
+        if (cpus <= 0 || budget <= 0) break;
+        cpus -= v.spec.vcpus;
+        budget--;
+        this.evict(v.p, v.spec);
+      }
+    }
+  }
+
+  /** Processors of tasks that were told to stop and have not yet. */
+  private get comingFree(): number {
+    let cpus = 0;
+    for (const job of this.ledger.jobs.values()) {
+      for (const p of job.placed.values()) if (p.evict !== undefined) cpus += job.spec.vcpus;
+    }
+    return cpus;
+  }
+
+  private suits(spec: JobSpec, m: Machine): boolean {
+    return allows({ builds: spec.builds, hall: spec.hall, spot: spec.loaners }, m.place);
+  }
+
   private hosts(now: SteadyMs): Host[] {
     const silent = this.silentAfter;
     const hosts: Host[] = [];
@@ -850,6 +919,7 @@
     const unknown = inZone.get('') ?? 0;
     // Tasks whose machine's zone is not known yet may be in any.
     const perZone = spec.apart ? Math.ceil(spec.entries / 2) - unknown : Infinity;
+    const whole = spec.shape === 'ensemble';
     const room = openTaskLimit(spec, this.deps.settings.state.valueBytes) - job.open;
     return {
       id: job.id,
@@ -865,8 +935,10 @@
       zone: job.placed.size > 0 ? (job.zone ?? '') : undefined,
       perZone,
       inZone,
-      indexes: this.placeable(job, room),
-      count: job.waiting.size,
+      indexes: whole && job.placed.size > 0 ? [] : this.placeable(job, room),
+      // A gang that lost a part is stopped and starts over as a whole.
+      count: whole && job.placed.size > 0 ? 0 : job.waiting.size,
+      whole,
       avoid: job.faultyOn,
       urgent: UrgentWork.is(spec),
     };
--- a/src/ledger/job.ts
+++ b/src/ledger/job.ts
@@ -25,6 +25,9 @@
   /** Its start, or its stop, has been sent straight to the worker. */
   pushed: boolean;
   stopped: boolean;
+  /** To be stopped, with so many seconds to save, so that it can run elsewhere or later. */
+  evict?: number;
+  ranSince?: SteadyMs;
   /** A report has shown it running, and whether its image was thought to be there: for the log. */
   ran?: boolean;
   hadImage?: boolean;
--- a/src/placer/placer.ts
+++ b/src/placer/placer.ts
@@ -44,6 +44,8 @@
   readonly inZone: ReadonlyMap<string, number>;
   /** The waiting tasks that may be placed now, lowest index first. */
   readonly indexes: Iterable<number>;
+  /** All of its waiting tasks are placed at once, or none. */
+  readonly whole: boolean;
   /** How many tasks wait in all. */
   readonly count: number;
   /** Machines it must not go to. */
@@ -141,6 +143,8 @@
     const suited = slots.filter((s) => allows(want, s.host) && !want.avoid.has(s.host.id));
     const allowed = suited.filter((s) => fits(want.size, s) && !s.claimed);
     let missing = want.count;
+    const undo: (() => void)[] = [];
+    const first = out.length;
     const room = teams.get(want.team);
     const inZone = new Map(want.inZone);
     let zone = want.zone;
@@ -162,9 +166,17 @@
         }
       }
       if (!best) break;
+      const taken = best;
+      undo.push(() => {
+        taken.cpus += want.size.cpus;
+        taken.gpus += want.size.gpus;
+        taken.ramGb += want.size.ramGb;
+        if (!room) return;
+        room.cpus += want.size.cpus;
+        room.gpus += want.size.gpus;
+      });
       for (const image of reserve.keys()) {
-        if (best.host.holds(image))
-          headroom.set(image, (headroom.get(image) ?? 0) - want.size.cpus);
+        if (keeps(best, image)) headroom.set(image, (headroom.get(image) ?? 0) - want.size.cpus);
       }
       best.cpus -= want.size.cpus;
       best.gpus -= want.size.gpus;
@@ -179,6 +191,12 @@
       out.push({ job: want.id, index, machine: best.host.id });
       missing--;
     }
+    if (want.whole && missing > 0) {
+      // A part of a gang would only hold room that others could use.
+      for (const back of undo) back();
+      out.length = first;
+      missing = want.count;
+    }
     claim(suited, want, missing);
   }
   return out;
--- a/src/wire/user.ts
+++ b/src/wire/user.ts
@@ -11,11 +11,17 @@
 export const Urgency = z.enum(['prod', 'high', 'normal', 'low']);
 export type Urgency = z.infer<typeof Urgency>;
 
+/**
+ * `sweep`: independent tasks. The other two are not on the protocol's page but among the words of the
+ * workers: `ensemble` runs whole or not at all, `daemon` until it is cancelled.
+ */
+export const Shape = z.enum(['sweep', 'ensemble', 'daemon']);
+
 export const JobSpec = z.object({
   name_id: z.string().regex(JOB_ID),
   docket: name,
   desk: name,
-  shape: z.literal('sweep'),
+  shape: Shape,
   urgency: Urgency,
   entries: z.number().int().min(1).max(MAX_TASKS),
   vcpus: amount.positive(),
