--- a/src/capacity/keeper.ts
+++ b/src/capacity/keeper.ts
@@ -21,7 +21,7 @@
   type JobId,
   type Random,
 } from '../units/index.js';
-import type { Box, Hire, JobSpec } from '../wire/index.js';
+import type { Box, Hire, JobSpec, Urgency } from '../wire/index.js';
 import { offerKey, plan, type Coming, type Demand, type Plan } from './planner.js';
 
 /** What the keeper sees of the fleet, and does to it. */
@@ -55,6 +55,15 @@
   spot: spec.loaners,
 });
 
+interface Pool {
+  readonly hosts: { total: Size; used: number; urgent: number; up: boolean }[];
+  /** Of all work at hand: processor-seconds by its owners' estimates, and processors. */
+  work: number;
+  cpus: number;
+}
+
+const isUrgent = (u: Urgency): boolean => u === 'prod' || u === 'high';
+
 interface Refusal {
   until: SteadyMs;
   times: number;
@@ -77,6 +86,8 @@
 const WORTH_BOOTING = 0.7;
 /** A job that has waited this long is pressing whatever its deadline. */
 const NEGLECTED = seconds(180);
+/** As long as no machine is there at all, dear ones are only asked for after this. */
+const NOTHING_YET = seconds(5);
 /** An ordinary machine without work goes back sooner: it costs a multiple of a cheap one. */
 const DEAR_IDLE_SHARE = 0.25;
 /** A machine is charged for this long at least. */
@@ -260,17 +271,23 @@
    */
   private demands(queue: readonly Job[]): Demand[] {
     const wall = this.deps.clock.wall();
-    const turnover = this.turnover();
     const out: Demand[] = [];
+    const pool = this.pool();
     let ahead = 0;
+    for (const job of queue) {
+      const cpus = job.waiting.size * job.spec.vcpus;
+      pool.work += cpus * job.spec.expected_s;
+      pool.cpus += cpus;
+    }
     for (const job of queue) {
       const { spec } = job;
       const size: Size = { cpus: spec.vcpus, gpus: spec.gpus, ramGb: spec.ram_gb };
       const ready = this.leastReady(size);
       const run = spec.expected_s * 1000;
+      const urgent = isUrgent(spec.urgency);
       ahead += job.waiting.size * spec.vcpus;
-      const wait = (ahead / turnover(size)) * 1000;
-      const patience = job.spec.urgency === 'prod' || job.spec.urgency === 'high' ? 0.25 : 1;
+      const wait = this.expectedWait(pool, size, ahead, urgent, ready, wall - job.submitted);
+      const patience = urgent ? 0.25 : 1;
       if (wait < ready * WORTH_BOOTING * patience) continue;
       const due = dueBy(job, this.deps.settings.objectives, wall);
       const slack = due - wall - run * 1.2;
@@ -294,24 +311,57 @@
     return Number.isFinite(least) ? least : 0;
   }
 
-  /** Processors a second that come free on machines large enough for a size. */
-  private turnover(): (size: Size) => number {
-    const rates: { total: Size; rate: number }[] = [];
+  /** What is there and on its way, and how long work stays on it. */
+  private pool(): Pool {
+    const now = this.deps.clock.steady();
+    const pool: Pool = { hosts: [], work: 0, cpus: 0 };
     for (const m of this.fleet.machines.values()) {
       const f = this.catalog.flavor(m.place.build);
-      if (!f || !m.up || m.draining || m.deleteSent) continue;
-      let rate = 0;
+      if (!f || m.draining || m.deleteSent) continue;
+      const late = f.ready_s * 1000 * BOOT_LATE;
+      if (!m.up && (m.bootingSince === undefined || since(m.bootingSince, now) > late)) continue;
+      let used = 0;
+      let urgent = 0;
       for (const a of m.assigned.values()) {
         const spec = this.fleet.spec(a.job);
-        if (spec) rate += spec.vcpus / Math.max(1, spec.expected_s);
+        if (!spec) continue;
+        used += spec.vcpus;
+        if (isUrgent(spec.urgency)) urgent += spec.vcpus;
+        pool.work += spec.vcpus * spec.expected_s;
+        pool.cpus += spec.vcpus;
       }
-      rates.push({ total: { cpus: f.vcpus, gpus: f.gpus, ramGb: f.ram_gb }, rate });
+      const total: Size = { cpus: f.vcpus, gpus: f.gpus, ramGb: f.ram_gb };
+      pool.hosts.push({ total, used, urgent, up: m.up });
+    }
+    return pool;
+  }
+
+  /**
+   * How long work of a size waits, behind so many processors' worth, for what is there or on its way.
+   * What urgent tasks free is taken by urgent tasks to come, so it counts for those alone.
+   */
+  private expectedWait(
+    pool: Pool,
+    size: Size,
+    ahead: number,
+    urgent: boolean,
+    ready: number,
+    waited: number,
+  ): number {
+    let cpus = 0;
+    let free = 0;
+    let booting = 0;
+    for (const h of pool.hosts) {
+      if (!fits(size, h.total)) continue;
+      cpus += h.total.cpus - (urgent ? 0 : h.urgent);
+      if (h.up) free += h.total.cpus - h.used;
+      else booting += h.total.cpus;
     }
-    return (size) => {
-      let sum = 1e-6;
-      for (const r of rates) if (fits(size, r.total)) sum += r.rate;
-      return sum;
-    };
+    // Nothing yet: the cheap machines are asked for first, and only then is it known what is missing.
+    if (cpus <= 0) return waited > NOTHING_YET ? Infinity : ready;
+    const run = pool.cpus > 0 ? (pool.work / pool.cpus) * 1000 : 0;
+    const queued = Math.max(0, ahead - free - booting) / cpus;
+    return queued * run + (ahead > free && booting > 0 ? ready / 2 : 0);
   }
 
   /** Machines to be deleted at once: never booted, failed, vanished, or silent with tasks. */
