--- a/src/placer/placer.ts
+++ b/src/placer/placer.ts
@@ -83,6 +83,8 @@
 const EPS = 1e-6;
 /** Prices of one kind move by up to a third each way; only a larger difference is one of kind. */
 const DEARER = 1.8;
+/** Claimed machines stand partly empty: of those that would suit, no more than this share. */
+const MOST_CLAIMED = 0.3;
 
 export const fits = (size: Size, room: Size): boolean =>
   size.cpus <= room.cpus + EPS && size.gpus <= room.gpus + EPS && size.ramGb <= room.ramGb + EPS;
@@ -140,7 +142,9 @@
   const out: Assignment[] = [];
   for (const want of wants) {
     if (out.length >= most) break;
-    const suited = slots.filter((s) => allows(want, s.host) && !want.avoid.has(s.host.id));
+    const suited = slots.filter(
+      (s) => allows(want, s.host) && fits(want.size, s.host.total) && !want.avoid.has(s.host.id),
+    );
     const allowed = suited.filter((s) => fits(want.size, s) && !s.claimed);
     let missing = want.count;
     const undo: (() => void)[] = [];
@@ -208,9 +212,11 @@
  */
 function claim(suited: readonly Slot[], want: Want, missing: number): void {
   const open = suited
-    .filter((s) => !s.claimed && !fits(want.size, s) && fits(want.size, s.host.total))
+    .filter((s) => !s.claimed && !fits(want.size, s))
     .sort((a, b) => b.cpus - a.cpus || (a.host.id < b.host.id ? -1 : 1));
-  for (const s of open.slice(0, missing)) {
+  const most = Math.max(1, Math.floor(suited.length * MOST_CLAIMED));
+  const held = suited.filter((s) => s.claimed).length;
+  for (const s of open.slice(0, Math.max(0, Math.min(missing, most - held)))) {
     if (want.size.cpus * 2 < s.host.total.cpus - EPS) continue;
     s.claimed = true;
   }
