--- a/src/capacity/keeper.ts
+++ b/src/capacity/keeper.ts
@@ -410,7 +410,9 @@
     );
     for (const m of dearFirst) {
       if (!m.up || m.assigned.size > 0 || m.idleSince === undefined) continue;
-      const patience = this.deps.operator.idle * (m.place.spot ? 1 : DEAR_IDLE_SHARE);
+      // Keeping it costs as much as its boot would: after that it is cheaper to rent another.
+      const ready = (this.catalog.flavor(m.place.build)?.ready_s ?? 0) * 1000;
+      const patience = ready * this.deps.operator.idleBoots * (m.place.spot ? 1 : DEAR_IDLE_SHARE);
       if (since(m.idleSince, now) < patience) continue;
       if (m.rentedAt !== undefined && since(m.rentedAt, now) < LEAST_CHARGE) continue;
       const used = this.fleet.used(m);
--- a/src/config/operator-file.ts
+++ b/src/config/operator-file.ts
@@ -8,7 +8,7 @@
 const span = (least: number, most: number) =>
   z
     .string()
-    .regex(/^\d+(\.\d+)?$/, 'must be a number of seconds')
+    .regex(/^\d+(\.\d+)?$/, 'must be a number')
     .transform(Number)
     .pipe(z.number().min(least).max(most));
 
@@ -17,7 +17,7 @@
     leadership: z
       .strictObject({ 'lease-s': span(1, 60).optional(), 'renew-s': span(0.2, 20).optional() })
       .optional(),
-    capacity: z.strictObject({ 'idle-s': span(0, 3600).optional() }).optional(),
+    capacity: z.strictObject({ 'idle-boots': span(0, 100).optional() }).optional(),
   }),
 });
 
@@ -52,7 +52,7 @@
   return {
     lease: seconds(lease),
     renew: seconds(renew),
-    idle: seconds(f.capacity?.['idle-s'] ?? DEFAULTS.idleS),
+    idleBoots: f.capacity?.['idle-boots'] ?? DEFAULTS.idleBoots,
   };
 }
 
--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -7,13 +7,14 @@
 export interface OperatorSettings {
   readonly lease: DurationMs;
   readonly renew: DurationMs;
-  readonly idle: DurationMs;
+  /** How long a cheap machine without work is kept, in its type's boot times. */
+  readonly idleBoots: number;
 }
 
-export const DEFAULTS = { leaseS: 4, renewS: 1.2, idleS: 20 };
+export const DEFAULTS = { leaseS: 4, renewS: 1.2, idleBoots: 1.5 };
 
 export const defaultOperator: OperatorSettings = {
   lease: seconds(DEFAULTS.leaseS),
   renew: seconds(DEFAULTS.renewS),
-  idle: seconds(DEFAULTS.idleS),
+  idleBoots: DEFAULTS.idleBoots,
 };
--- a/src/placer/placer.ts
+++ b/src/placer/placer.ts
@@ -84,7 +84,7 @@
 /** Prices of one kind move by up to a third each way; only a larger difference is one of kind. */
 const DEARER = 1.8;
 /** Claimed machines stand partly empty: of those that would suit, no more than this share. */
-const MOST_CLAIMED = 0.3;
+const MOST_CLAIMED = 0.5;
 
 export const fits = (size: Size, room: Size): boolean =>
   size.cpus <= room.cpus + EPS && size.gpus <= room.gpus + EPS && size.ramGb <= room.ramGb + EPS;
