--- a/src/api/service.ts
+++ b/src/api/service.ts
@@ -35,7 +35,8 @@
   readonly retryAfter?: number;
 }
 
-const RELAY_SUBMIT = ms(700);
+/** Short: a node that gets no answer in time takes the job in itself, and the record settles it. */
+const RELAY_SUBMIT = ms(150);
 const RELAY_READ = ms(800);
 const RELAY_ABORT = ms(1500);
 const RELAY_BEAT = ms(2500);
--- a/src/ledger/ledger.ts
+++ b/src/ledger/ledger.ts
@@ -3,7 +3,6 @@
 import type { Commit, StoreClient } from '../store/client.js';
 import { Backoff } from '../store/budget.js';
 import {
-  later,
   ms,
   sleep,
   since,
@@ -386,14 +385,4 @@
     this.settleWaiters(job.id, Infinity, false);
     this.events.adopted(fresh);
   }
-
-  /** Until when nothing can be written, for those who ask when to come back. */
-  get stalled(): boolean {
-    return this.backoff.remaining() > 0;
-  }
-
-  /** The earliest time at which the store may take writes again. */
-  get retryAt(): SteadyMs {
-    return later(this.clock.steady(), this.backoff.remaining());
-  }
 }
--- a/test/standin/network.ts
+++ b/test/standin/network.ts
@@ -35,6 +35,14 @@
   private held: { from: string; to: string; go: () => void }[] = [];
   /** The share of answers that get lost, and of requests. */
   loss = 0;
+  /** Requests to this path stay under way until it is cleared; then they arrive, late. */
+  private holdPath: string | undefined;
+
+  hold(path: string | undefined): void {
+    this.holdPath = path;
+    if (path === undefined) this.release();
+  }
+
   /** Called before each request leaves; a test may kill the sender here. */
   onSend: ((from: string, to: string, path: string) => void) | undefined;
 
@@ -115,7 +123,7 @@
     sent = true;
     const body = through(request.body);
     if (this.random() < this.loss) return;
-    this.forward(zone, to, () => {
+    const arrive = (): void => {
       const host = this.hosts.get(to);
       if (!host?.handler) {
         settle({ kind: 'undelivered', why: 'refused' });
@@ -130,6 +138,8 @@
           settle({ kind: 'answer', status: a.status, body: answer });
         });
       });
-    });
+    };
+    if (request.path === this.holdPath) this.held.push({ from: zone, to, go: arrive });
+    else this.forward(zone, to, arrive);
   }
 }
