--- a/test/sim/fleet.test.ts
+++ b/test/sim/fleet.test.ts
@@ -83,10 +83,10 @@
   const before = world.starts;
   world.submit({ entries: 1 }, 6000);
   await world.run(5000);
+  const leader = world.leaderNode() ?? 0;
   world.state.outage(true);
   // It ends while nothing can be written and the leader still answers reports; then that one dies.
   await world.run(3500);
-  const leader = world.leaderNode() ?? 0;
   world.killNode(leader);
   world.state.outage(false);
   world.time.after(3000, () => world.startNode(leader));
