Inherited placements that are gone wait again instead of being started

Cause: a leader freed a task in memory, gave its team's room to another and died before that was written; the next one started both. No room is made for a job whose team is at its limit.

--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -451,7 +451,9 @@
       }
       if (r.entries.some((e) => e.entry === key && e.try === a.attempt)) continue;
       // Not there. If it is not wanted there any more, a proof of absence frees it.
-      const unwanted = job.aborted || (m.draining && p.version <= job.committed);
+      // An inherited one starts over in the queue: its leader may have given its room away already
+      // without having written that, and starting it again could take its team over the limit.
+      const unwanted = job.aborted || p.inherited || (m.draining && p.version <= job.committed);
       if (!unwanted) continue;
       if (
         provenAbsent(
@@ -573,6 +575,7 @@
           out.push({ verb: 'kill', entry: key, try: a.attempt, wind_down_s: 0 });
         }
       } else if (
+        !p.inherited &&
         p.version <= job.committed &&
         (!m.draining || m.doubts.has(attemptKey(key, a.attempt)))
       ) {
@@ -784,11 +787,15 @@
    */
   private makeRoom(queue: readonly Job[], placed: readonly { job: JobId }[], now: SteadyMs): void {
     let budget = MOST_EVICTED;
+    const rooms = this.teamRoom();
     for (const job of queue) {
       if (budget <= 0 || !UrgentWork.is(job.spec)) return;
       const left = job.waiting.size - placed.filter((a) => a.job === job.id).length;
       let cpus = left * job.spec.vcpus - this.comingFree;
       if (left <= 0 || cpus <= 0) continue;
+      // At its team's limit, no machine's room would help.
+      const room = rooms.get(job.spec.desk);
+      if (room && room.cpus < job.spec.vcpus) continue;
       const victims: { p: Placement; spec: JobSpec; lost: number; holds: boolean }[] = [];
       for (const other of this.ledger.jobs.values()) {
         if (rankOf(other.spec.urgency) <= rankOf(job.spec.urgency)) continue;
