--- a/test/standin/worker.ts
+++ b/test/standin/worker.ts
@@ -46,6 +46,8 @@
   private lastChange = -Infinity;
   hung = false;
   dead = false;
+  /** Reports sent so far. */
+  sent = 0;
   recallAt: number | undefined;
 
   constructor(
@@ -135,6 +137,7 @@
 
   private async report(): Promise<void> {
     this.reporting = true;
+    this.sent++;
     this.wanted = false;
     const sent = this.clock.steady();
     this.lastReport = sent;
