--- a/eslint.config.js
+++ b/eslint.config.js
@@ -16,4 +16,17 @@
       eqeqeq: 'error',
     },
   },
+  {
+    files: ['tools/**'],
+    languageOptions: {
+      globals: {
+        process: 'readonly',
+        require: 'readonly',
+        __dirname: 'readonly',
+        URL: 'readonly',
+        setTimeout: 'readonly',
+      },
+    },
+  },
+  { files: ['tools/**/*.cjs'], languageOptions: { sourceType: 'commonjs' } },
 );
--- a/src/api/app.ts
+++ b/src/api/app.ts
@@ -1,7 +1,6 @@
 import Koa from 'koa';
-import { pipeline } from 'node:stream/promises';
 import type { Logger } from 'pino';
-import { Gather } from '../net/http.js';
+import { gather } from '../net/http.js';
 import { CONTENT_TYPE, MAX_BODY, encode } from '../wire/index.js';
 import type { Reply, Service } from './service.js';
 
@@ -22,10 +21,8 @@
 async function answer(service: Service, ctx: Koa.Context, log: Logger): Promise<Reply> {
   try {
     if (ctx.path === '/up') return ctx.method === 'GET' ? service.up() : { status: 405 };
-    const gather = new Gather(MAX_BODY);
-    await pipeline(ctx.req, gather);
-    if (gather.overflow) return { status: 400, body: { error: 'body over 64 KiB' } };
-    const body = gather.body();
+    const body = await gather(ctx.req, MAX_BODY);
+    if (!body) return { status: 400, body: { error: 'body over 64 KiB' } };
     if (ctx.path === '/agent/beat') {
       return ctx.method === 'POST' ? await service.beat(body) : { status: 405 };
     }
--- a/src/config/operator-file.ts
+++ b/src/config/operator-file.ts
@@ -1,6 +1,6 @@
 import { readFileSync } from 'node:fs';
 import { XMLParser } from 'fast-xml-parser';
-import { z } from 'zod';
+import * as z from 'zod';
 import { seconds } from '../units/index.js';
 import { DEFAULTS, type OperatorSettings } from './operator.js';
 import { SettingsError, type Settings } from './settings.js';
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -1,5 +1,5 @@
 import { readFileSync } from 'node:fs';
-import { z } from 'zod';
+import * as z from 'zod';
 import { Endpoint, NodeId, ms, seconds, type DurationMs } from '../units/index.js';
 
 /** The file that the platform hands over. Fields it does not know are ignored. */
--- a/src/leader/election.ts
+++ b/src/leader/election.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Logger } from 'pino';
 import type { StoreClient } from '../store/client.js';
 import { LEADER_KEY } from '../ledger/ledger.js';
--- a/src/ledger/codec.ts
+++ b/src/ledger/codec.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { JobSpec } from '../wire/index.js';
 import type { JobId } from '../units/index.js';
 import {
--- a/src/main.ts
+++ b/src/main.ts
@@ -77,9 +77,11 @@
   log.info({ area: settings.area }, 'started');
 }
 
-const start = await parseCommandLine(process.argv.slice(2));
-if (start.kind === 'exit') {
-  if (start.out) process.stdout.write(start.out);
-  if (start.err) process.stderr.write(start.err);
-  process.exitCode = start.code;
-} else run(start.settings, start.operator ?? defaultOperator);
+// No await at the top: the bundle that is deployed has none.
+void parseCommandLine(process.argv.slice(2)).then((start) => {
+  if (start.kind === 'exit') {
+    if (start.out) process.stdout.write(start.out);
+    if (start.err) process.stderr.write(start.err);
+    process.exitCode = start.code;
+  } else run(start.settings, start.operator ?? defaultOperator);
+});
--- a/src/net/http.ts
+++ b/src/net/http.ts
@@ -1,6 +1,5 @@
 import http from 'node:http';
-import { pipeline } from 'node:stream/promises';
-import { Writable } from 'node:stream';
+import type { Readable } from 'node:stream';
 import type { DurationMs, Endpoint } from '../units/index.js';
 import { CONTENT_TYPE, decode, encode } from '../wire/index.js';
 
@@ -26,35 +25,27 @@
 }
 
 /**
- * Gathers a body of at most `limit` bytes. What goes beyond is read and dropped, so that the sender
- * can still be told; a body many times too long ends the stream.
+ * A body of at most `limit` bytes; undefined if it was longer. What goes beyond is read and dropped,
+ * so that the sender can still be told; a body many times too long ends the stream. Listens to the
+ * stream itself: a pipeline's abort signal costs more than all else that a report takes.
  */
-export class Gather extends Writable {
-  private readonly parts: Buffer[] = [];
-  private size = 0;
-
-  constructor(private readonly limit: number) {
-    super();
-  }
-
-  get overflow(): boolean {
-    return this.size > this.limit;
-  }
-
-  override _write(chunk: Buffer, _encoding: string, done: (e?: Error) => void): void {
-    this.size += chunk.length;
-    if (this.size > 16 * this.limit) {
-      done(new RangeError('body far too large'));
-      return;
-    }
-    if (this.overflow) this.parts.length = 0;
-    else this.parts.push(chunk);
-    done();
-  }
-
-  body(): Buffer {
-    return this.parts.length === 1 ? (this.parts[0] as Buffer) : Buffer.concat(this.parts);
-  }
+export function gather(from: Readable, limit: number): Promise<Buffer | undefined> {
+  return new Promise((resolve, reject) => {
+    const parts: Buffer[] = [];
+    let size = 0;
+    from.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > 16 * limit) from.destroy(new RangeError('body far too large'));
+      else if (size > limit) parts.length = 0;
+      else parts.push(chunk);
+    });
+    from.on('end', () => {
+      if (size > limit) resolve(undefined);
+      else resolve(parts.length === 1 ? parts[0] : Buffer.concat(parts));
+    });
+    from.on('error', reject);
+    from.on('close', () => reject(new Error('closed before its end')));
+  });
 }
 
 /** A watch's answer holds all changes and has no size limit; this bounds what we would hold. */
@@ -108,12 +99,10 @@
       });
       req.on('error', (e) => lost(e.message));
       req.on('response', (res) => {
-        const gather = new Gather(MAX_ANSWER);
-        pipeline(res, gather).then(
-          () => {
-            const body = gather.body();
+        gather(res, MAX_ANSWER).then(
+          (body) => {
             try {
-              if (gather.overflow) throw new RangeError('answer too large');
+              if (!body) throw new RangeError('answer too large');
               settle({
                 kind: 'answer',
                 status: res.statusCode ?? 0,
--- a/src/node.ts
+++ b/src/node.ts
@@ -1,5 +1,5 @@
 import type { Logger } from 'pino';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { OperatorSettings } from './config/operator.js';
 import type { Settings } from './config/settings.js';
 import { Service } from './api/service.js';
--- a/src/wire/cloud.ts
+++ b/src/wire/cloud.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Messages of the cloud that rents machines. */
 export const Flavor = z.object({
--- a/src/wire/store.ts
+++ b/src/wire/store.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Messages of the state service. */
 export const Item = z.object({ key: z.string(), data: z.unknown(), stamp: z.number() });
--- a/src/wire/user.ts
+++ b/src/wire/user.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { decode, isMap, MAX_BODY } from './codec.js';
 
 /** User-facing messages: submissions, their states and cancellations. */
--- a/src/wire/worker.ts
+++ b/src/wire/worker.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Messages between workers and controllers. */
 const count = z.number().int().nonnegative();
--- a/test/standin/loopback.ts
+++ b/test/standin/loopback.ts
@@ -1,6 +1,5 @@
 import http from 'node:http';
-import { pipeline } from 'node:stream/promises';
-import { Gather, NodeHttpClient } from '../../src/net/http.js';
+import { NodeHttpClient, gather } from '../../src/net/http.js';
 import { systemClock } from '../../src/units/system.js';
 import { ms } from '../../src/units/index.js';
 import { MAX_BODY, decode, encode, type Flavor } from '../../src/wire/index.js';
@@ -32,14 +31,12 @@
 
 function serve(port: number, handler: Handler): http.Server {
   const server = http.createServer({ keepAliveTimeout: 120_000 }, (req, res) => {
-    const gather = new Gather(MAX_BODY);
-    void pipeline(req, gather)
-      .then(async () => {
-        const body = gather.body();
+    void gather(req, MAX_BODY)
+      .then(async (body) => {
         const a = await handler(
           req.method ?? 'GET',
           req.url ?? '/',
-          body.length > 0 ? decode(body) : undefined,
+          body && body.length > 0 ? decode(body) : undefined,
           'node-0',
         );
         res.writeHead(a.status, { 'content-type': 'application/cbor' });
--- a/test/unit/config.test.ts
+++ b/test/unit/config.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import { spawnSync } from 'node:child_process';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -96,6 +97,12 @@
       assert.match(`${start.out ?? ''}${start.err ?? ''}`, text);
     }
     assert.equal((await parseCommandLine(['--config', good])).kind, 'run');
+    // What is deployed is a bundle of all this: it must find every library that it is made of.
+    const deployed = (...argv: string[]) =>
+      spawnSync(process.execPath, ['target/topazpin.cjs', ...argv], { encoding: 'utf8' });
+    assert.match(deployed('--version').stdout, /^\d+\.\d+\.\d+/);
+    const refused = deployed('--config', bad);
+    assert.deepEqual([refused.status, refused.stderr.split('\n').length], [1, 2], refused.stderr);
   } finally {
     rmSync(dir, { recursive: true });
   }
