The term divided by concern; loads of machines kept instead of worked out for each placing

A machine's load is worked out anew only after it changed; entries are found by attempt; young tasks and those told to stop are listed as they come. Placing is woken by what may let a task be placed, no more by every report and commit.

--- a/src/capacity/keeper.ts
+++ b/src/capacity/keeper.ts
@@ -3,10 +3,11 @@
 import type { Settings } from '../config/settings.js';
 import { MAX_DELETE, MAX_HIRE, type CloudClient } from '../cloud/client.js';
 import type { Catalog } from '../cloud/catalog.js';
+import type { Fleet } from '../fleet/fleet.js';
 import type { Machine } from '../fleet/machine.js';
+import { fits, less, sizeOfFlavor, sizeOfSpec, type Size } from '../fleet/size.js';
 import type { Job } from '../ledger/job.js';
 import { dueBy } from '../ledger/queue.js';
-import { fits, type Size } from '../placer/placer.js';
 import { Backoff } from '../store/budget.js';
 import {
   MachineId,
@@ -24,19 +25,16 @@
 import type { Box, Hire, JobSpec, Urgency } from '../wire/index.js';
 import { offerKey, plan, type Coming, type Demand, type Plan } from './planner.js';
 
-/** What the keeper sees of the fleet, and does to it. */
+/** What the keeper sees of the fleet and its work, and does to it. */
 export interface FleetView {
-  readonly machines: ReadonlyMap<MachineId, Machine>;
+  readonly fleet: Fleet;
   readonly silentAfter: DurationMs;
   /** Since when reports are answered without a break. */
-  readonly listeningSince: SteadyMs;
+  listeningSince(): SteadyMs;
   queue(): Job[];
-  used(m: Machine): Size | undefined;
   spec(job: JobId): JobSpec | undefined;
   /** Urgent work that may be submitted next. */
   expected(): { spec: JobSpec; count: number }[];
-  meet(id: MachineId, place: Machine['place'], addr: string): Machine;
-  isGone(id: MachineId): boolean;
   removed(m: Machine, why: string): void;
 }
 
@@ -49,7 +47,7 @@
 }
 
 const demandOf = (spec: JobSpec): Omit<Demand, 'count' | 'pressing'> => ({
-  size: { cpus: spec.vcpus, gpus: spec.gpus, ramGb: spec.ram_gb },
+  size: sizeOfSpec(spec),
   builds: spec.builds,
   hall: spec.hall,
   spot: spec.loaners,
@@ -111,7 +109,7 @@
   onCatalog: (() => void) | undefined;
 
   constructor(
-    private readonly fleet: FleetView,
+    private readonly view: FleetView,
     private readonly cloud: CloudClient,
     private readonly catalog: Catalog,
     private readonly epoch: Epoch,
@@ -120,6 +118,10 @@
     this.outage = new Backoff(deps.clock, deps.random, ms(500), seconds(5));
   }
 
+  private get machines(): ReadonlyMap<MachineId, Machine> {
+    return this.view.fleet.machines;
+  }
+
   tick(): void {
     if (this.busy || this.outage.remaining() > 0 || !this.cloud.ready()) return;
     const step = this.next(this.deps.clock.steady());
@@ -194,8 +196,8 @@
         this.pending = undefined;
         this.deps.log.info({ hire: hire.hire, ...offer, count: result.machines.length }, 'rented');
         for (const id of result.machines) {
-          if (this.fleet.isGone(id)) continue;
-          const m = this.fleet.meet(id, offer, '');
+          if (this.view.fleet.isGone(id)) continue;
+          const m = this.view.fleet.meet(id, offer, '');
           m.rentedAt ??= now;
           if (!m.up) m.bootingSince ??= now;
         }
@@ -233,28 +235,20 @@
   }
 
   private wanted(now: SteadyMs): Plan[] {
-    const demands = this.demands(this.fleet.queue());
+    const demands = this.demands(this.view.queue());
     // Room standing by for urgent work: last, and never at the price of ordinary machines.
-    for (const { spec, count } of this.fleet.expected()) {
+    for (const { spec, count } of this.view.expected()) {
       demands.push({ ...demandOf(spec), count, pressing: false });
     }
     if (demands.length === 0) return [];
     const coming: Coming[] = [];
-    for (const m of this.fleet.machines.values()) {
+    for (const m of this.machines.values()) {
       const f = this.catalog.flavor(m.place.build);
       if (!f || m.draining || m.deleteSent) continue;
-      const total: Size = { cpus: f.vcpus, gpus: f.gpus, ramGb: f.ram_gb };
+      const total = sizeOfFlavor(f);
       if (m.up) {
-        const used = this.fleet.used(m);
-        if (!used) continue;
-        coming.push({
-          ...m.place,
-          free: {
-            cpus: total.cpus - used.cpus,
-            gpus: total.gpus - used.gpus,
-            ramGb: total.ramGb - used.ramGb,
-          },
-        });
+        const load = this.view.fleet.load(m);
+        if (!load.unknown) coming.push({ ...m.place, free: less(total, load.used) });
       } else if (
         m.bootingSince !== undefined &&
         since(m.bootingSince, now) < f.ready_s * 1000 * BOOT_LATE
@@ -281,7 +275,7 @@
     }
     for (const job of queue) {
       const { spec } = job;
-      const size: Size = { cpus: spec.vcpus, gpus: spec.gpus, ramGb: spec.ram_gb };
+      const size = sizeOfSpec(spec);
       const ready = this.leastReady(size);
       const run = spec.expected_s * 1000;
       const urgent = isUrgent(spec.urgency);
@@ -305,7 +299,7 @@
   private leastReady(size: Size): number {
     let least = Infinity;
     for (const f of this.catalog.all()) {
-      const total: Size = { cpus: f.vcpus, gpus: f.gpus, ramGb: f.ram_gb };
+      const total = sizeOfFlavor(f);
       if (fits(size, total)) least = Math.min(least, f.ready_s * 1000);
     }
     return Number.isFinite(least) ? least : 0;
@@ -315,7 +309,7 @@
   private pool(): Pool {
     const now = this.deps.clock.steady();
     const pool: Pool = { hosts: [], work: 0, cpus: 0 };
-    for (const m of this.fleet.machines.values()) {
+    for (const m of this.machines.values()) {
       const f = this.catalog.flavor(m.place.build);
       if (!f || m.draining || m.deleteSent) continue;
       const late = f.ready_s * 1000 * BOOT_LATE;
@@ -323,14 +317,14 @@
       let used = 0;
       let urgent = 0;
       for (const a of m.assigned.values()) {
-        const spec = this.fleet.spec(a.job);
+        const spec = this.view.spec(a.job);
         if (!spec) continue;
         used += spec.vcpus;
         if (isUrgent(spec.urgency)) urgent += spec.vcpus;
         pool.work += spec.vcpus * spec.expected_s;
         pool.cpus += spec.vcpus;
       }
-      const total: Size = { cpus: f.vcpus, gpus: f.gpus, ramGb: f.ram_gb };
+      const total = sizeOfFlavor(f);
       pool.hosts.push({ total, used, urgent, up: m.up });
     }
     return pool;
@@ -371,7 +365,7 @@
     const heard = new Map<string, number>();
     const total = new Map<string, number>();
     const silent: { m: Machine; quiet: number }[] = [];
-    for (const m of this.fleet.machines.values()) {
+    for (const m of this.machines.values()) {
       if (m.deleteSent) {
         out.push(m);
         continue;
@@ -384,7 +378,7 @@
       const last = m.lastHeard ?? m.runsSince;
       if (last === undefined) continue;
       // Silence counts only while we listened: not before we led, nor while we answered 503.
-      const quiet = since(SteadyMs(Math.max(last, this.fleet.listeningSince)), now);
+      const quiet = since(SteadyMs(Math.max(last, this.view.listeningSince())), now);
       const zone = m.place.hall;
       total.set(zone, (total.get(zone) ?? 0) + 1);
       if (m.missedLists >= 1 && quiet > report * VANISHED_REPORTS) out.push(m);
@@ -404,8 +398,8 @@
   private idle(now: SteadyMs): Machine[] {
     const out: Machine[] = [];
     let spare = this.freeCpus();
-    for (const { spec, count } of this.fleet.expected()) spare -= spec.vcpus * count;
-    const dearFirst = [...this.fleet.machines.values()].sort(
+    for (const { spec, count } of this.view.expected()) spare -= spec.vcpus * count;
+    const dearFirst = [...this.machines.values()].sort(
       (a, b) => Number(a.place.spot) - Number(b.place.spot),
     );
     for (const m of dearFirst) {
@@ -415,8 +409,8 @@
       const patience = ready * this.deps.operator.idleBoots * (m.place.spot ? 1 : DEAR_IDLE_SHARE);
       if (since(m.idleSince, now) < patience) continue;
       if (m.rentedAt !== undefined && since(m.rentedAt, now) < LEAST_CHARGE) continue;
-      const used = this.fleet.used(m);
-      if (!used || used.cpus > 0) continue;
+      const load = this.view.fleet.load(m);
+      if (load.unknown || load.used.cpus > 0) continue;
       // Giving it back must not take the room that stands by for urgent work.
       const cpus = this.catalog.flavor(m.place.build)?.vcpus ?? 0;
       if (this.isSmallest(cpus)) {
@@ -435,10 +429,11 @@
   /** What is free on machines of the smallest type, which is where urgent work is expected. */
   private freeCpus(): number {
     let free = 0;
-    for (const m of this.fleet.machines.values()) {
+    for (const m of this.machines.values()) {
       const cpus = this.catalog.flavor(m.place.build)?.vcpus ?? 0;
       if (!m.up || m.draining || !this.isSmallest(cpus)) continue;
-      free += cpus - (this.fleet.used(m)?.cpus ?? cpus);
+      const load = this.view.fleet.load(m);
+      free += cpus - (load.unknown ? cpus : load.used.cpus);
     }
     return free;
   }
@@ -451,7 +446,7 @@
     }
     const ok = await this.cloud.remove(machines.map((m) => m.id));
     if (!ok) return false;
-    for (const m of machines) this.fleet.removed(m, 'deleted');
+    for (const m of machines) this.view.removed(m, 'deleted');
     return true;
   }
 
@@ -463,10 +458,10 @@
     for (const box of boxes) {
       const id = MachineId(box.name_id);
       seen.add(id);
-      if (!this.fleet.isGone(id)) this.take(id, box, now);
+      if (!this.view.fleet.isGone(id)) this.take(id, box, now);
     }
     const settled = 2 * this.deps.settings.cloud.listLag;
-    for (const m of this.fleet.machines.values()) {
+    for (const m of this.machines.values()) {
       if (seen.has(m.id)) m.missedLists = 0;
       // A list may be older than the one before, but not older than twice the lag.
       else if (m.listedAt !== undefined && since(m.listedAt, now) > settled) m.missedLists++;
@@ -476,7 +471,7 @@
   }
 
   private take(id: MachineId, box: Box, now: SteadyMs): void {
-    const m = this.fleet.meet(
+    const m = this.view.fleet.meet(
       id,
       { build: box.build, hall: box.hall, spot: box.loaners },
       box.addr,
--- a/src/capacity/planner.ts
+++ b/src/capacity/planner.ts
@@ -1,4 +1,5 @@
-import { allows, fits, type Size } from '../placer/placer.js';
+import { fits, sizeOfFlavor, type Size } from '../fleet/size.js';
+import { allows } from '../placer/placer.js';
 import type { Flavor } from '../wire/index.js';
 
 /**
@@ -38,8 +39,6 @@
   ramGb: number;
 }
 
-const sizeOfFlavor = (f: Flavor): Size => ({ cpus: f.vcpus, gpus: f.gpus, ramGb: f.ram_gb });
-
 const perMachine = (room: Size, size: Size): number =>
   Math.floor(
     Math.min(
--- a/src/fleet/machine.ts
+++ b/src/fleet/machine.ts
@@ -3,6 +3,8 @@
   later,
   stretched,
   ms,
+  parseTaskKey,
+  taskKey,
   type DurationMs,
   type Endpoint,
   type Epoch,
@@ -12,6 +14,7 @@
   type TaskKey,
 } from '../units/index.js';
 import { ImageCache } from './images.js';
+import type { Size } from './size.js';
 
 /** Beyond the drift of clocks: how much later than computed we call a worker's lease expired. */
 const LEASE_MARGIN = ms(500);
@@ -20,6 +23,17 @@
   readonly job: JobId;
   readonly index: number;
   readonly attempt: number;
+  readonly size: Size;
+  readonly image: string;
+}
+
+/** What is in use on a machine, or may be. */
+export interface Load {
+  readonly used: Size;
+  /** Something runs there whose size nobody knows. */
+  readonly unknown: boolean;
+  /** Images under way to it. */
+  readonly fetching: ReadonlySet<string>;
 }
 
 export interface Place {
@@ -35,18 +49,23 @@
   readonly baton: number;
   readonly recall: DurationMs | undefined;
   readonly entries: readonly Entry[];
+  /** The entries by attempt, so that each is found without a look at all. */
+  readonly byAttempt: ReadonlyMap<string, Entry>;
 }
 
-export const toReport = (b: Beat): Report => ({
+export const attemptKey = (entry: string, attempt: number): string => `${entry}#${attempt}`;
+
+export const toReport = (
+  b: Pick<Beat, 'shift' | 'tally' | 'baton' | 'recall_s' | 'entries'>,
+): Report => ({
   shift: b.shift,
   tally: b.tally,
   baton: b.baton,
   recall: b.recall_s === null || b.recall_s === undefined ? undefined : ms(b.recall_s * 1000),
   entries: b.entries,
+  byAttempt: new Map(b.entries.map((e) => [attemptKey(e.entry, e.try), e])),
 });
 
-export const attemptKey = (entry: string, attempt: number): string => `${entry}#${attempt}`;
-
 /**
  * A machine as this leader knows it: what is placed on it by record (and may be there), what its
  * newest report showed, and what may still arrive there.
@@ -79,7 +98,8 @@
   faults = 0;
   directUntil = 0 as SteadyMs;
   directBusy = false;
-  readonly assigned = new Map<TaskKey, Assigned>();
+  private readonly tasks = new Map<TaskKey, Assigned>();
+  private loaded: Load | undefined;
   /** Attempts whose start was sent directly and not answered: it may still arrive. */
   readonly doubts = new Set<string>();
   readonly images: ImageCache;
@@ -97,6 +117,32 @@
     this.images = new ImageCache(cacheGb);
   }
 
+  /** What records place here: it may be here until there is proof that it is not. */
+  get assigned(): ReadonlyMap<TaskKey, Assigned> {
+    return this.tasks;
+  }
+
+  assign(key: TaskKey, task: Assigned): void {
+    this.tasks.set(key, task);
+    this.loaded = undefined;
+    this.idleSince = undefined;
+  }
+
+  unassign(key: TaskKey): void {
+    if (this.tasks.delete(key)) this.loaded = undefined;
+  }
+
+  uses(image: string, gb: number): void {
+    if (!this.images.has(image)) this.loaded = undefined;
+    this.images.use(image, gb);
+  }
+
+  /** Worked out anew only after something has changed: it is asked for far more often. */
+  load(sizeOf: (job: JobId) => Size | undefined): Load {
+    this.loaded ??= loadOf(this, sizeOf);
+    return this.loaded;
+  }
+
   isNewer(r: Report): boolean {
     if (r.shift < this.leastShift) return false;
     const last = this.report;
@@ -109,6 +155,7 @@
     // A new session has dropped the tasks of the old one and refuses its commands.
     if (this.report && r.shift > this.report.shift) this.doubts.clear();
     this.report = r;
+    this.loaded = undefined;
     this.up = true;
     this.lastHeard = now;
     this.bootingSince = undefined;
@@ -119,9 +166,8 @@
     return true;
   }
 
-  /** A 200 was given to a report that arrived now, so it was sent no later. */
-  answered(now: SteadyMs, lease: DurationMs): void {
-    const expires = leaseEnd(now, lease);
+  /** A 200 was given to a report whose lease has certainly run out by then. */
+  answered(expires: SteadyMs): void {
     if (expires > this.expires) this.expires = expires;
   }
 
@@ -129,19 +175,45 @@
   expire(): void {
     if (this.report) this.leastShift = this.report.shift + 1;
     this.report = undefined;
+    this.loaded = undefined;
     this.up = false;
     this.doubts.clear();
   }
 
-  entry(key: string): Entry | undefined {
-    return this.report?.entries.find((e) => e.entry === key);
-  }
-
   get draining(): boolean {
     return this.returning || this.recallAt !== undefined;
   }
 }
 
+/** What may be on a machine: all that records place there, and all that it reports beside. */
+export function loadOf(m: Machine, sizeOf: (job: JobId) => Size | undefined): Load {
+  let cpus = 0;
+  let gpus = 0;
+  let ramGb = 0;
+  let unknown = false;
+  const fetching = new Set<string>();
+  const add = (s: Size): void => {
+    cpus += s.cpus;
+    gpus += s.gpus;
+    ramGb += s.ramGb;
+  };
+  for (const [key, a] of m.assigned) {
+    add(a.size);
+    if (m.images.has(a.image)) continue;
+    const e = m.report?.byAttempt.get(attemptKey(key, a.attempt));
+    if (!e || e.status === 'fetching') fetching.add(a.image);
+  }
+  for (const e of m.report?.entries ?? []) {
+    if (e.status === 'exited') continue;
+    const ref = parseTaskKey(e.entry);
+    if (ref && m.assigned.get(taskKey(ref.job, ref.index))?.attempt === e.try) continue;
+    const size = ref && sizeOf(ref.job);
+    if (size) add(size);
+    else unknown = true;
+  }
+  return { used: { cpus, gpus, ramGb }, unknown, fetching };
+}
+
 export const leaseEnd = (from: SteadyMs, lease: DurationMs): SteadyMs =>
   later(from, ms(stretched(lease) + LEASE_MARGIN));
 
@@ -164,10 +236,10 @@
   doubts: ReadonlySet<string>,
   epoch: Epoch,
 ): boolean {
-  if (report.entries.some((e) => e.entry === key && e.try === attempt && e.status !== 'exited')) {
-    return false;
-  }
-  if (doubts.has(attemptKey(key, attempt))) return false;
+  const own = attemptKey(key, attempt);
+  const e = report.byAttempt.get(own);
+  if (e && e.status !== 'exited') return false;
+  if (doubts.has(own)) return false;
   if (how.inherited && report.baton < epoch) return false;
   if (how.sent) {
     if (report.shift > how.sent.shift) return true;
--- /dev/null
+++ b/src/leader/deps.ts
@@ -0,0 +1,31 @@
+import type { Logger } from 'pino';
+import type { OperatorSettings } from '../config/operator.js';
+import type { Settings } from '../config/settings.js';
+import type { CloudClient } from '../cloud/client.js';
+import type { Catalog } from '../cloud/catalog.js';
+import type { HttpClient } from '../net/http.js';
+import type { StoreClient } from '../store/client.js';
+import type { StoreFront } from '../ledger/front.js';
+import type { Clock, Epoch, Random } from '../units/index.js';
+
+/** By machine: its images and their sizes, least lately used first. Worth time, never correctness. */
+export type Hints = Record<string, [image: string, gb: number][]>;
+
+export interface TermDeps {
+  readonly settings: Settings;
+  readonly operator: OperatorSettings;
+  readonly store: StoreClient;
+  readonly front: StoreFront;
+  readonly cloud: CloudClient;
+  readonly http: HttpClient;
+  readonly catalog: Catalog;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Logger;
+  /** The epoch if we may act under it at this moment. */
+  readonly authority: () => Epoch | undefined;
+  readonly deposed: (epoch: Epoch) => void;
+  /** The images on machines as the leader before told them; and how to tell the other nodes. */
+  readonly hints: Hints;
+  readonly tellHints: (hints: Hints) => void;
+}
--- /dev/null
+++ b/src/leader/dispatch.ts
@@ -0,0 +1,303 @@
+import type { Machine } from '../fleet/machine.js';
+import { less, sizeOfFlavor, sizeOfSpec } from '../fleet/size.js';
+import { openTaskLimit } from '../ledger/codec.js';
+import type { Job } from '../ledger/job.js';
+import { compare, placeInQueue, rankOf } from '../ledger/queue.js';
+import {
+  allows,
+  place as placeTasks,
+  type Host,
+  type TeamRoom,
+  type Want,
+} from '../placer/placer.js';
+import {
+  JobId,
+  ms,
+  parseTaskKey,
+  since,
+  taskKey,
+  type DurationMs,
+  type MachineId,
+  type SteadyMs,
+} from '../units/index.js';
+import type { JobSpec } from '../wire/index.js';
+import { JUST_BEGUN, type Begun, type Board } from './board.js';
+import type { TermDeps } from './deps.js';
+import type { Orders } from './orders.js';
+import { UrgentWork } from './urgent.js';
+
+/** What happens within this time is placed together. */
+const GATHER = ms(5);
+/** The most tasks that one placing round commits, so that no transaction grows too large. */
+const MOST_PER_ROUND = 400;
+/** How many tasks are stopped at a time to make room for urgent ones. */
+const MOST_EVICTED = 8;
+
+/** Where waiting tasks go: the placer's view of jobs and machines, and what follows from its word. */
+export class Dispatch {
+  readonly urgent = new UrgentWork();
+  private gathering = false;
+  private closed = false;
+  /** Set once the term knows all live jobs. */
+  ready = false;
+
+  constructor(
+    private readonly board: Board,
+    private readonly orders: Orders,
+    private readonly deps: TermDeps,
+  ) {}
+
+  close(): void {
+    this.closed = true;
+  }
+
+  /** Jobs with waiting tasks, most urgent first. */
+  queue(): Job[] {
+    const now = this.deps.clock.steady();
+    const wall = this.deps.clock.wall();
+    return [...this.board.ledger.jobs.values()]
+      .filter((j) => !j.aborted && j.waiting.size > 0 && j.heldUntil <= now)
+      .map((j) =>
+        placeInQueue(j, this.deps.settings.objectives, wall, ms(j.spec.expected_s * 1000)),
+      )
+      .sort(compare)
+      .map((p) => p.job);
+  }
+
+  /** Places soon, together with what else comes up in the meantime. */
+  wake(): void {
+    if (!this.ready || this.gathering || this.closed) return;
+    this.gathering = true;
+    this.deps.clock.after(GATHER, () => {
+      this.gathering = false;
+      if (this.closed) return;
+      try {
+        this.place();
+      } catch (e) {
+        this.deps.log.error({ err: e }, 'placing failed');
+      }
+    });
+  }
+
+  place(): void {
+    const queue = this.queue();
+    if (queue.length === 0) return;
+    const now = this.deps.clock.steady();
+    const hosts = this.hosts(now);
+    if (hosts.length === 0) return;
+    const wants = queue.map((job) => this.want(job));
+    const fleet = hosts.reduce((n, h) => n + h.total.cpus, 0);
+    const reserve = this.urgent.reserve(fleet, now);
+    for (const job of queue) this.regroup(job);
+    const result = placeTasks(wants, hosts, this.teamRoom(), MOST_PER_ROUND, reserve);
+    if (result.length < MOST_PER_ROUND) this.makeRoom(queue, result, now);
+    const byJob = new Map<JobId, { index: number; machine: MachineId }[]>();
+    for (const a of result) {
+      const list = byJob.get(a.job) ?? [];
+      list.push(a);
+      byJob.set(a.job, list);
+    }
+    for (const [id, tasks] of byJob) this.commit(id, tasks, now);
+  }
+
+  private commit(
+    id: JobId,
+    tasks: readonly { index: number; machine: MachineId }[],
+    now: SteadyMs,
+  ): void {
+    const job = this.board.ledger.jobs.get(id);
+    if (!job) return;
+    job.place(tasks, now);
+    for (const { index } of tasks) {
+      const p = job.placed.get(index);
+      if (!p) continue;
+      this.board.assign(job, index, p);
+      p.hadImage = this.machines.get(p.machine)?.images.has(job.spec.bundle) ?? false;
+    }
+    if (job.spec.together) {
+      const first = tasks[0] && this.machines.get(tasks[0].machine);
+      job.zone = first?.place.hall;
+    }
+    this.deps.log.debug({ job: id, tasks: tasks.length }, 'placed');
+  }
+
+  private get machines(): ReadonlyMap<MachineId, Machine> {
+    return this.board.fleet.machines;
+  }
+
+  /** The rest of a gang that lost a part can't go on without it. */
+  private regroup(job: Job): void {
+    if (job.spec.shape !== 'ensemble' || job.placed.size === 0) return;
+    for (const [index, p] of job.placed) {
+      this.board.evict(job, index, p);
+      this.orders.push(p.machine);
+    }
+  }
+
+  /**
+   * Urgent tasks that found no room take that of less urgent ones which have only just begun, so
+   * that little work is lost. What is stopped waits again, behind them in the queue.
+   */
+  private makeRoom(queue: readonly Job[], placed: readonly { job: JobId }[], now: SteadyMs): void {
+    let budget = MOST_EVICTED;
+    const rooms = this.teamRoom();
+    for (const job of queue) {
+      if (budget <= 0 || !UrgentWork.is(job.spec)) return;
+      const left = job.waiting.size - placed.filter((a) => a.job === job.id).length;
+      let cpus = left * job.spec.vcpus - this.board.comingFree;
+      if (left <= 0 || cpus <= 0) continue;
+      // At its team's limit, no machine's room would help.
+      const room = rooms.get(job.spec.desk);
+      if (room && room.cpus < job.spec.vcpus) continue;
+      for (const v of this.victims(job, now)) {
+        if (cpus <= 0 || budget <= 0) break;
+        cpus -= v.job.spec.vcpus;
+        budget--;
+        this.board.evict(v.job, v.index, v.placement);
+        this.orders.push(v.placement.machine);
+      }
+    }
+  }
+
+  /** What may be stopped for a job, on holders of its image first, the least lost work first. */
+  private victims(job: Job, now: SteadyMs): (Begun & { index: number })[] {
+    const victims: (Begun & { index: number; holds: boolean; lost: number })[] = [];
+    for (const b of this.board.justBegun(now)) {
+      const other = b.job;
+      const { placement: p } = b;
+      if (rankOf(other.spec.urgency) <= rankOf(job.spec.urgency)) continue;
+      if (other.aborted || other.spec.shape !== 'sweep' || p.evict !== undefined) continue;
+      const lost = since(b.since, now);
+      const m = this.machines.get(p.machine);
+      if (!m?.up || m.draining || lost > JUST_BEGUN || !this.suits(job.spec, m)) continue;
+      // It may have ended, or lost its place, since it began.
+      if (this.board.ledger.jobs.get(other.id) !== other || other.placed.get(b.index) !== p)
+        continue;
+      victims.push({ ...b, lost, holds: m.images.has(job.spec.bundle) });
+    }
+    return victims.sort((a, b) => Number(b.holds) - Number(a.holds) || a.lost - b.lost);
+  }
+
+  private suits(spec: JobSpec, m: Machine): boolean {
+    return allows({ builds: spec.builds, hall: spec.hall, spot: spec.loaners }, m.place);
+  }
+
+  private hosts(now: SteadyMs): Host[] {
+    const silent = this.silentAfter;
+    const hosts: Host[] = [];
+    for (const m of this.machines.values()) {
+      if (!m.up || m.draining || m.deleteSent || m.heldUntil > now || !m.addr || !m.report)
+        continue;
+      if (m.lastHeard === undefined || since(m.lastHeard, now) > silent) continue;
+      const flavor = this.deps.catalog.flavor(m.place.build);
+      if (!flavor) continue;
+      const load = this.board.fleet.load(m);
+      if (load.unknown) continue;
+      const total = sizeOfFlavor(flavor);
+      hosts.push({
+        id: m.id,
+        build: m.place.build,
+        hall: m.place.hall,
+        spot: m.place.spot,
+        total,
+        free: less(total, load.used),
+        rate: (m.place.spot ? flavor.spot_price : flavor.rate) / flavor.vcpus,
+        fetchGbPerS: flavor.fetch_gb_per_s,
+        holds: (image) => m.images.has(image),
+        fetching: load.fetching,
+      });
+    }
+    return hosts;
+  }
+
+  /** When a machine counts as silent: two reports and a bit are missing. */
+  get silentAfter(): DurationMs {
+    return ms(this.deps.settings.workers.report * 2.75);
+  }
+
+  expected(): { spec: JobSpec; count: number }[] {
+    let cpus = 0;
+    for (const m of this.machines.values()) {
+      if (m.up) cpus += this.deps.catalog.flavor(m.place.build)?.vcpus ?? 0;
+    }
+    return this.urgent.expected(cpus);
+  }
+
+  private want(job: Job): Want {
+    const { spec } = job;
+    const zoned = spec.together || spec.apart;
+    const inZone = new Map<string, number>();
+    if (zoned) {
+      for (const p of job.placed.values()) {
+        const hall = this.machines.get(p.machine)?.place.hall ?? '';
+        inZone.set(hall, (inZone.get(hall) ?? 0) + 1);
+      }
+    }
+    const unknown = inZone.get('') ?? 0;
+    // Tasks whose machine's zone is not known yet may be in any.
+    const perZone = spec.apart ? Math.ceil(spec.entries / 2) - unknown : Infinity;
+    const whole = spec.shape === 'ensemble';
+    const room = openTaskLimit(spec, this.deps.settings.state.valueBytes) - job.open;
+    return {
+      id: job.id,
+      team: spec.desk,
+      size: sizeOfSpec(spec),
+      image: spec.bundle,
+      imageGb: spec.size_gb,
+      builds: spec.builds,
+      hall: spec.hall,
+      spot: spec.loaners,
+      together: spec.together,
+      // While none of its tasks may be anywhere, it is free to start over in another zone.
+      zone: job.placed.size > 0 ? (job.zone ?? '') : undefined,
+      perZone,
+      inZone,
+      indexes: whole && job.placed.size > 0 ? [] : this.placeable(job, room, zoned),
+      // A gang that lost a part is stopped and starts over as a whole.
+      count: whole && job.placed.size > 0 ? 0 : job.waiting.size,
+      whole,
+      avoid: job.faultyOn,
+      urgent: UrgentWork.is(spec),
+    };
+  }
+
+  /** Waiting tasks that may start now: none that may still be on some machine by a stray attempt. */
+  private *placeable(job: Job, room: number, zoned: boolean): IterableIterator<number> {
+    const { fleet } = this.board;
+    const tail = job.waiting.last();
+    let fresh = Math.max(0, room);
+    // A stray attempt counts for the zones too; it is gone soon.
+    if (zoned && [...fleet.strayKeys.keys()].some((k) => parseTaskKey(k)?.job === job.id)) return;
+    for (const index of job.waiting.indexes()) {
+      if (fleet.isStray(taskKey(job.id, index))) continue;
+      // Tasks of the untouched tail make the record grow; those below are counted already.
+      if (tail && tail[1] === job.spec.entries && index >= tail[0] && fresh-- <= 0) return;
+      yield index;
+    }
+  }
+
+  /** What each limited team may still start, counting all that may be on machines. */
+  private teamRoom(): Map<string, TeamRoom> {
+    const rooms = new Map<string, TeamRoom>();
+    for (const t of this.deps.settings.teams.values()) {
+      if (t.cpusMax <= 0 && t.gpusMax <= 0) continue;
+      rooms.set(t.name, {
+        cpus: t.cpusMax > 0 ? t.cpusMax : Infinity,
+        gpus: t.gpusMax > 0 ? t.gpusMax : Infinity,
+      });
+    }
+    if (rooms.size === 0) return rooms;
+    const take = (spec: JobSpec | undefined, tasks: number): void => {
+      const room = spec && rooms.get(spec.desk);
+      if (!room) return;
+      room.cpus -= tasks * spec.vcpus;
+      room.gpus -= tasks * spec.gpus;
+    };
+    const { ledger, fleet } = this.board;
+    for (const job of ledger.jobs.values()) take(job.spec, job.placed.size);
+    for (const [key, set] of fleet.strayKeys) {
+      take(ledger.jobs.get(parseTaskKey(key)?.job ?? JobId(''))?.spec, set.size);
+    }
+    return rooms;
+  }
+}
--- /dev/null
+++ b/src/leader/orders.ts
@@ -0,0 +1,171 @@
+import { attemptKey, toReport, type Machine, type Report } from '../fleet/machine.js';
+import type { Job } from '../ledger/job.js';
+import { later, ms, parseTaskKey, seconds, type Epoch, type MachineId } from '../units/index.js';
+import { Beat, type Order } from '../wire/index.js';
+import type { Board } from './board.js';
+import type { TermDeps } from './deps.js';
+
+const COMMAND_TIMEOUT = ms(2500);
+/** After an unanswered command a machine gets its orders by report for a while. */
+const DIRECT_PAUSE = seconds(8);
+/** Orders that fit a response to a worker with room to spare. */
+const MAX_ORDERS = 300;
+
+/** What workers are told: in the answers to their reports, and straight where it should not wait. */
+export class Orders {
+  private readonly pushes = new Set<Machine>();
+  private pushing = false;
+  private closed = false;
+
+  constructor(
+    private readonly epoch: Epoch,
+    private readonly board: Board,
+    private readonly deps: TermDeps,
+    /** The answer to a command shows the machine as a report does. */
+    private readonly observe: (m: Machine, r: Report) => void,
+  ) {}
+
+  close(): void {
+    this.closed = true;
+  }
+
+  private get jobs(): ReadonlyMap<Job['id'], Job> {
+    return this.board.ledger.jobs;
+  }
+
+  /** The orders that a report is answered with. */
+  answer(m: Machine, r: Report): Order[] {
+    const out: Order[] = [];
+    for (const e of r.entries) {
+      const ref = parseTaskKey(e.entry);
+      if (!ref) {
+        if (e.status === 'exited') out.push({ verb: 'clear', entry: e.entry, try: e.try });
+        continue;
+      }
+      const job = this.jobs.get(ref.job);
+      const p = job?.placed.get(ref.index);
+      const mine = p !== undefined && p.machine === m.id && p.attempt === e.try;
+      if (e.status === 'exited') {
+        // A late start of an attempt that was cleared would run it once more.
+        if (m.doubts.has(attemptKey(e.entry, e.try))) continue;
+        // The worker's word is the only record of a finish until ours is written.
+        const safe = e.cause !== 'done' || !job || (job.isDone(ref.index) && finishKept(job));
+        if (safe && !mine) out.push({ verb: 'clear', entry: e.entry, try: e.try });
+      } else if (!mine || job?.aborted) {
+        out.push({ verb: 'kill', entry: e.entry, try: e.try, wind_down_s: 0 });
+      } else if (p.evict !== undefined) {
+        out.push({ verb: 'kill', entry: e.entry, try: e.try, wind_down_s: p.evict });
+      }
+    }
+    for (const [key, a] of m.assigned) {
+      if (out.length >= MAX_ORDERS) break;
+      const job = this.jobs.get(a.job);
+      const p = job?.placed.get(a.index);
+      const attempt = attemptKey(key, a.attempt);
+      if (!job || !p || r.byAttempt.has(attempt)) continue;
+      if (job.aborted) {
+        // A start sent straight to the worker may still arrive. Used up here, it can't run then.
+        if (m.doubts.has(attempt)) {
+          out.push({ verb: 'launch', entry: key, try: a.attempt });
+          out.push({ verb: 'kill', entry: key, try: a.attempt, wind_down_s: 0 });
+        }
+      } else if (
+        !p.inherited &&
+        p.version <= job.committed &&
+        (!m.draining || m.doubts.has(attempt))
+      ) {
+        p.sent = { shift: r.shift, tally: r.tally };
+        out.push({ verb: 'launch', entry: key, try: a.attempt });
+      }
+    }
+    return out;
+  }
+
+  // --- direct orders ----------------------------------------------------------------------------
+
+  /** Orders that should not wait for the next report are sent to the machine in this turn's end. */
+  push(id: MachineId): void {
+    const m = this.board.fleet.machines.get(id);
+    if (!m) return;
+    this.pushes.add(m);
+    if (this.pushing) return;
+    this.pushing = true;
+    this.deps.clock.after(ms(0), () => {
+      this.pushing = false;
+      const list = [...this.pushes];
+      this.pushes.clear();
+      for (const machine of list) {
+        void this.command(machine).catch((e: unknown) =>
+          this.deps.log.error({ err: e, machine: machine.id }, 'command failed'),
+        );
+      }
+    });
+  }
+
+  private async command(m: Machine): Promise<void> {
+    const now = this.deps.clock.steady();
+    if (this.closed || m.directBusy || !m.up || !m.addr || !m.report || m.deleteSent) return;
+    if (now < m.directUntil || now > m.expires || this.deps.authority() !== this.epoch) return;
+    const { orders, started } = this.direct(m);
+    if (orders.length === 0) return;
+    m.directBusy = true;
+    const shift = m.report.shift;
+    const outcome = await this.deps.http.send({
+      endpoint: m.addr,
+      method: 'POST',
+      path: '/commands',
+      body: { baton: this.epoch, shift, orders },
+      timeout: COMMAND_TIMEOUT,
+    });
+    m.directBusy = false;
+    if (this.closed) return;
+    if (outcome.kind === 'answer') {
+      // Carried out or refused: either way nothing of it is under way any more.
+      for (const attempt of started) m.doubts.delete(attempt);
+      const body = Beat.safeParse(outcome.body);
+      if (body.success && !this.board.fleet.isGone(m.id) && body.data.box === m.id) {
+        const r = toReport(body.data);
+        if (m.take(r, this.deps.clock.steady())) this.observe(m, r);
+      }
+    } else {
+      if (outcome.kind === 'undelivered') for (const attempt of started) m.doubts.delete(attempt);
+      this.deps.log.info({ machine: m.id, why: outcome.why }, 'command not answered');
+      m.directUntil = later(this.deps.clock.steady(), DIRECT_PAUSE);
+    }
+    this.push(m.id);
+  }
+
+  /** What is to be told to a machine at once, and the attempts whose start is part of it. */
+  private direct(m: Machine): { orders: Order[]; started: string[] } {
+    const orders: Order[] = [];
+    const started: string[] = [];
+    for (const [key, a] of m.assigned) {
+      if (orders.length >= MAX_ORDERS) break;
+      const job = this.jobs.get(a.job);
+      const p = job?.placed.get(a.index);
+      if (!job || !p || p.version > job.committed) continue;
+      if (job.aborted) {
+        if (p.stopped || !(p.seen || p.pushed || p.sent || p.inherited)) continue;
+        p.stopped = true;
+        orders.push({ verb: 'kill', entry: key, try: a.attempt, wind_down_s: 0 });
+      } else if (p.evict !== undefined && p.seen) {
+        if (p.stopped) continue;
+        p.stopped = true;
+        orders.push({ verb: 'kill', entry: key, try: a.attempt, wind_down_s: p.evict });
+      } else if (!p.seen && !p.pushed && !p.sent && !p.inherited && !m.draining) {
+        p.pushed = true;
+        // Until it is answered the start may arrive at any time.
+        const attempt = attemptKey(key, a.attempt);
+        m.doubts.add(attempt);
+        started.push(attempt);
+        orders.push({ verb: 'launch', entry: key, try: a.attempt });
+      }
+    }
+    return { orders, started };
+  }
+}
+
+/** Whether all that a job finished is in the store. */
+function finishKept(job: Job): boolean {
+  return job.committed >= job.version || job.shown.done >= job.doneCount;
+}
--- /dev/null
+++ b/src/leader/reports.ts
@@ -0,0 +1,157 @@
+import {
+  attemptKey,
+  leaseEnd,
+  provenAbsent,
+  toReport,
+  type Machine,
+  type Report,
+} from '../fleet/machine.js';
+import type { Job, Placement } from '../ledger/job.js';
+import {
+  MachineId,
+  later,
+  ms,
+  parseTaskKey,
+  seconds,
+  since,
+  taskKey,
+  type Epoch,
+  type SteadyMs,
+} from '../units/index.js';
+import type { Beat, BeatReply, Entry } from '../wire/index.js';
+import type { Board } from './board.js';
+import type { TermDeps } from './deps.js';
+import type { Orders } from './orders.js';
+
+/** A job that fails on this many machines is probably at fault itself. */
+const FAULTY_MACHINES = 3;
+const FAULT_HOLD = seconds(15);
+const MAX_HOLD = seconds(240);
+const FULL_HOLD = seconds(2);
+
+/** Takes in what machines report, and what follows from it for the tasks on them. */
+export class Reports {
+  constructor(
+    private readonly epoch: Epoch,
+    private readonly board: Board,
+    private readonly orders: Orders,
+    private readonly deps: TermDeps,
+    /** The machine may have come to be of use. */
+    private readonly wake: () => void,
+  ) {}
+
+  beat(b: Beat, ready: boolean): BeatReply {
+    const now = this.deps.clock.steady();
+    const none: BeatReply = { baton: this.epoch, orders: [] };
+    const id = MachineId(b.box);
+    const { fleet } = this.board;
+    if (fleet.isGone(id)) return none;
+    const m = fleet.meet(id, { build: b.build, hall: b.hall, spot: b.loaners }, b.addr);
+    const wasUp = m.up;
+    const r = toReport(b);
+    const fresh = m.take(r, now);
+    m.answered(leaseEnd(now, this.deps.settings.workers.lease));
+    if (!fresh || !ready) return none;
+    if (!wasUp) this.wake();
+    this.observe(m, r, true);
+    return { baton: this.epoch, orders: this.orders.answer(m, r) };
+  }
+
+  /** Takes in what a report shows. */
+  observe(m: Machine, r: Report, beat: boolean): void {
+    const now = this.deps.clock.steady();
+    const { fleet, ledger } = this.board;
+    let busy = false;
+    for (const e of r.entries) {
+      const ref = parseTaskKey(e.entry);
+      if (e.status !== 'exited') busy = true;
+      if (!ref) continue;
+      const job = ledger.jobs.get(ref.job);
+      const p = job?.placed.get(ref.index);
+      const mine = p !== undefined && p.machine === m.id && p.attempt === e.try;
+      if (e.status !== 'exited') {
+        if (mine && job) {
+          p.seen = true;
+          if (e.status === 'running') {
+            if (!p.ran) this.noteStart(job, ref.index, p, m);
+            m.uses(job.spec.bundle, job.spec.size_gb);
+          }
+        } else fleet.stray(taskKey(ref.job, ref.index), m.id);
+      } else if (e.cause === 'done') {
+        if (job && !job.isDone(ref.index)) {
+          m.uses(job.spec.bundle, job.spec.size_gb);
+          this.board.finish(job, ref.index);
+        }
+      } else if (mine && job) {
+        this.failed(m, job, ref.index, e, now);
+      }
+    }
+    fleet.sweepStrays(m, r);
+    for (const [key, a] of [...m.assigned]) {
+      const job = ledger.jobs.get(a.job);
+      const p = job?.placed.get(a.index);
+      if (!job || !p || p.machine !== m.id || p.attempt !== a.attempt) {
+        m.unassign(key);
+        continue;
+      }
+      if (r.byAttempt.has(attemptKey(key, a.attempt))) continue;
+      // Not wanted there any more: a proof of absence frees it.
+      // An inherited one starts over in the queue: its leader may have given its room away already
+      // without having written that, and starting it again could take its team over the limit.
+      const unwanted = job.aborted || p.inherited || (m.draining && p.version <= job.committed);
+      if (!unwanted) continue;
+      const how = { inherited: p.inherited, sent: p.sent };
+      if (provenAbsent(r, beat, key, a.attempt, how, m.doubts, this.epoch)) {
+        this.board.unplace(job, a.index, 'not on its machine');
+      }
+    }
+    if (m.assigned.size > 0 || busy) m.idleSince = undefined;
+    else m.idleSince ??= now;
+  }
+
+  /** For those who ask where the time went between a submission and its start. */
+  private noteStart(job: Job, index: number, p: Placement, m: Machine): void {
+    this.board.ran(job, index, p);
+    const { clock, log } = this.deps;
+    log.debug(
+      {
+        job: job.id,
+        index,
+        machine: m.id,
+        docket: job.spec.docket,
+        sinceSubmitMs: Math.round(clock.wall() - job.submitted),
+        sincePlacedMs: Math.round(since(p.at, clock.steady())),
+        hadImage: p.hadImage,
+      },
+      'running',
+    );
+  }
+
+  private failed(m: Machine, job: Job, index: number, e: Entry, now: SteadyMs): void {
+    this.board.unplace(job, index, e.cause ?? 'exited');
+    switch (e.cause) {
+      case 'error':
+        m.faults++;
+        job.faultyOn.add(m.id);
+        this.deps.log.warn({ job: job.id, index, machine: m.id }, 'task failed');
+        // The machine is suspected first: it gets a rest, and this job goes elsewhere.
+        m.heldUntil = later(now, ms(FAULT_HOLD * Math.min(4, m.faults)));
+        if (job.faultyOn.size >= FAULTY_MACHINES) {
+          // It failed on several: now the job is, and it must not eat the fleet.
+          job.holds++;
+          job.faultyOn.clear();
+          job.heldUntil = later(now, ms(Math.min(MAX_HOLD, FAULT_HOLD * 2 ** job.holds)));
+          this.deps.log.warn({ job: job.id, desk: job.spec.desk }, 'job held back after failures');
+        }
+        break;
+      case 'full':
+      case 'in_use':
+        m.heldUntil = later(now, FULL_HOLD);
+        break;
+      case 'no_such':
+        job.heldUntil = later(now, FULL_HOLD);
+        break;
+      default:
+    }
+  }
+}
--- a/src/ledger/job.ts
+++ b/src/ledger/job.ts
@@ -27,7 +27,6 @@
   stopped: boolean;
   /** To be stopped, with so many seconds to save, so that it can run elsewhere or later. */
   evict?: number;
-  ranSince?: SteadyMs;
   /** A report has shown it running, and whether its image was thought to be there: for the log. */
   ran?: boolean;
   hadImage?: boolean;
--- a/src/placer/placer.ts
+++ b/src/placer/placer.ts
@@ -1,3 +1,4 @@
+import { EPS, fits, type Size } from '../fleet/size.js';
 import type { JobId, MachineId } from '../units/index.js';
 
 /**
@@ -5,12 +6,6 @@
  * are taken in the order given, and each task goes to a machine that holds its image, else to the
  * one that will have it first, else to the freest.
  */
-export interface Size {
-  readonly cpus: number;
-  readonly gpus: number;
-  readonly ramGb: number;
-}
-
 export interface Host {
   readonly id: MachineId;
   readonly build: string;
@@ -80,15 +75,11 @@
   claimed: boolean;
 }
 
-const EPS = 1e-6;
 /** Prices of one kind move by up to a third each way; only a larger difference is one of kind. */
 const DEARER = 1.8;
 /** Claimed machines stand partly empty: of those that would suit, no more than this share. */
 const MOST_CLAIMED = 0.5;
 
-export const fits = (size: Size, room: Size): boolean =>
-  size.cpus <= room.cpus + EPS && size.gpus <= room.gpus + EPS && size.ramGb <= room.ramGb + EPS;
-
 export function allows(
   want: Pick<Want, 'builds' | 'hall' | 'spot'>,
   host: Pick<Host, 'build' | 'hall' | 'spot'>,
--- a/test/unit/fleet.test.ts
+++ b/test/unit/fleet.test.ts
@@ -1,19 +1,21 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Machine, leaseEnd, provenAbsent, type Report } from '../../src/fleet/machine.js';
+import fc from 'fast-check';
+import {
+  Machine,
+  leaseEnd,
+  loadOf,
+  provenAbsent,
+  toReport,
+  type Report,
+} from '../../src/fleet/machine.js';
 import { ImageCache } from '../../src/fleet/images.js';
-import { Epoch, MachineId, SteadyMs, seconds } from '../../src/units/index.js';
+import { Epoch, JobId, MachineId, SteadyMs, seconds, taskKey } from '../../src/units/index.js';
 
 const epoch = Epoch(50);
 const key = 'run-000001/0';
-const report = (change: Partial<Report>): Report => ({
-  shift: 1,
-  tally: 10,
-  baton: 50,
-  recall: undefined,
-  entries: [],
-  ...change,
-});
+const report = (change: Partial<Parameters<typeof toReport>[0]>): Report =>
+  toReport({ shift: 1, tally: 10, baton: 50, recall_s: null, entries: [], ...change });
 const machine = (): Machine =>
   new Machine(MachineId('vm-1'), { build: 'a', hall: 'z', spot: true }, 10, SteadyMs(0));
 
@@ -52,7 +54,7 @@
   const none = new Set<string>();
   type Case = [
     name: string,
-    report: Partial<Report>,
+    report: Parameters<typeof report>[0],
     beat: boolean,
     how: Parameters<typeof provenAbsent>[4],
     doubts: ReadonlySet<string>,
@@ -82,6 +84,38 @@
   }
 });
 
+void test('the load that is kept is the load worked out anew', () => {
+  const sizes = [1, 2, 4].map((cpus) => ({ cpus, gpus: 0, ramGb: cpus }));
+  const sizeOf = (job: JobId) => sizes[Number(job.slice(-1))];
+  const status = fc.constantFrom('fetching', 'running', 'exited');
+  const entries = fc.array(fc.tuple(fc.nat(3), fc.nat(2), status), { maxLength: 6 });
+  const move = fc.tuple(
+    fc.constantFrom('assign', 'unassign', 'report', 'image'),
+    fc.nat(3),
+    entries,
+  );
+  fc.assert(
+    fc.property(fc.array(move, { maxLength: 40 }), (moves) => {
+      const m = machine();
+      let tally = 0;
+      for (const [what, n, list] of moves) {
+        // A job that nobody knows (3) may be reported but is never placed.
+        const job = JobId(`run-${n}`);
+        const task = { job, index: 0, attempt: 1, size: sizes[n % 3]!, image: `img-${n % 2}` };
+        if (what === 'assign' && n < 3) m.assign(taskKey(job, 0), task);
+        else if (what === 'unassign') m.unassign(taskKey(job, 0));
+        else if (what === 'image') m.uses(`img-${n}`, 4);
+        else {
+          const shown = list.map(([k, t, s]) => ({ entry: `run-${k}/0`, try: t, status: s }));
+          m.take(report({ tally: ++tally, entries: shown }), SteadyMs(tally));
+        }
+        assert.deepEqual(m.load(sizeOf), loadOf(m, sizeOf));
+      }
+    }),
+    { seed: 20261202 },
+  );
+});
+
 void test('the image cache forgets what was used least lately', () => {
   const c = new ImageCache(10);
   c.use('a', 4);
--- a/test/unit/placer.test.ts
+++ b/test/unit/placer.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { allows, place, type Host, type Size, type Want } from '../../src/placer/placer.js';
+import type { Size } from '../../src/fleet/size.js';
+import { allows, place, type Host, type Want } from '../../src/placer/placer.js';
 import { JobId, MachineId } from '../../src/units/index.js';
 
 const seed = 20260314;
