New troubles in the stand-ins; alone nodes say so, cancellations through the store, gossip of the leader

Found by them and mended: a node cut off alone kept its users (it now fails its health check once no store and no peer is heard, unless the others said that the store is out for them too); a cancellation at a node that can't reach the leader was refused for as long as that lasted (it is asked for through the store now); repeats of direct starts after their attempt was cleared (not cleared for three leases where a moment's run would break a rule).

--- a/src/api/app.ts
+++ b/src/api/app.ts
@@ -12,6 +12,7 @@
     const reply = await answer(service, ctx, log);
     ctx.status = reply.status;
     if (reply.retryAfter !== undefined) ctx.set('Retry-After', String(reply.retryAfter));
+    if (reply.close) ctx.set('Connection', 'close');
     ctx.type = CONTENT_TYPE;
     ctx.body = encode(reply.body ?? {});
   });
--- a/src/api/service.ts
+++ b/src/api/service.ts
@@ -1,7 +1,7 @@
 import type { Logger } from 'pino';
 import type { Settings } from '../config/settings.js';
 import type { Catalog } from '../cloud/catalog.js';
-import type { StoreFront } from '../ledger/front.js';
+import type { Held, StoreFront } from '../ledger/front.js';
 import { statusOf, type Final, type Job } from '../ledger/job.js';
 import type { Election } from '../leader/election.js';
 import type { Answer, Term } from '../leader/term.js';
@@ -12,6 +12,7 @@
   ms,
   since,
   seconds,
+  sleep,
   type Clock,
   type DurationMs,
   type MachineId,
@@ -33,6 +34,17 @@
   readonly body?: unknown;
   /** Seconds after which to come back. */
   readonly retryAfter?: number;
+  /** The connection is given up: over a new one another node may be reached. */
+  readonly close?: boolean;
+}
+
+/** What the node around the service knows and does. */
+export interface Surroundings {
+  /** The leader's hints for its successor came. */
+  hints(body: Buffer): void;
+  ping(body: Buffer): Buffer;
+  /** Cut off from the state service and from every other node, while it may be the only one that is. */
+  alone(): boolean;
 }
 
 /** A node that gets no answer in time takes the job in itself, and the record settles it. */
@@ -42,6 +54,9 @@
 const RELAY_READ = ms(800);
 const RELAY_ABORT = ms(1500);
 const RELAY_BEAT = ms(2500);
+/** How long, and how often, a cancellation asked for through the store is looked for there. */
+const ABORT_WATCH = ms(1500);
+const ABORT_LOOK = ms(300);
 /** The longest a user's request is worked on before it gets its final answer. */
 const PATIENCE = ms(2500);
 /** A worker that we sent to the leader and that is back this soon can't reach it. */
@@ -49,6 +64,7 @@
 const RELAY_FOR = seconds(20);
 
 const later503: Reply = { status: 503, retryAfter: 1 };
+const cutOff503: Reply = { status: 503, retryAfter: 1, close: true };
 const notFound: Reply = { status: 404, body: { error: 'no such job' } };
 
 interface Sent {
@@ -73,7 +89,7 @@
     private readonly peers: ReadonlyMap<NodeId, Peer>,
     private readonly clock: Clock,
     private readonly log: Logger,
-    private readonly onHints: (body: Buffer) => void,
+    private readonly around: Surroundings,
   ) {}
 
   /** The term under which we may answer at this moment. */
@@ -91,16 +107,20 @@
   }
 
   /**
-   * Healthy once it has been in touch with the store or a leader. It stays so when the store is
-   * out: a node that says "come back" at once serves users better than one taken off the balancer,
-   * whose connections are reset and which is let back in only after a pause.
+   * Healthy once it has been in touch with the store or a leader. It stays so when the store is out
+   * for all: a node that says "come back" at once serves users better than one taken off the balancer,
+   * whose connections are reset and which is let back in only after a pause. One that is cut off alone
+   * says so, since another node could serve the users that stay with it.
    */
   up(): Reply {
     this.storeSeen ||= this.election.leader() !== undefined;
-    return this.storeSeen ? { status: 200, body: { node: this.settings.node } } : later503;
+    if (!this.storeSeen) return later503;
+    if (this.around.alone()) return cutOff503;
+    return { status: 200, body: { node: this.settings.node } };
   }
 
   async user(method: string, path: string, body: Buffer): Promise<Reply> {
+    if (this.around.alone()) return cutOff503;
     const id = /^\/v1\/jobs\/([^/]+)$/.exec(path)?.[1];
     const abort = /^\/v1\/jobs\/([^/]+)\/abort$/.exec(path)?.[1];
     if (path === '/v1/jobs') {
@@ -230,10 +250,7 @@
       );
       if (told) return told;
     }
-    const held = await this.front.lookup(JobId(id));
-    if (held.kind === 'live') return { status: 200, body: this.jobBody(held.job) };
-    if (held.kind === 'final') return { status: 200, body: this.finalBody(id, held.final) };
-    return held.kind === 'absent' ? notFound : later503;
+    return this.held(id, await this.front.lookup(JobId(id)));
   }
 
   private abort(id: string): Promise<Reply> {
@@ -252,9 +269,30 @@
       if (told) return told;
     }
     const held = await this.front.abort(JobId(id));
-    if (held.kind === 'live') return { status: 200, body: this.jobBody(held.job) };
-    if (held.kind === 'final') return { status: 200, body: this.finalBody(id, held.final) };
-    return held.kind === 'absent' ? notFound : later503;
+    if (held.kind !== 'unsure') return this.held(id, held);
+    // There is a leader that we can't reach: it is asked through the store, where it will be answered.
+    if (!relay || !(await this.front.requestAbort(JobId(id)))) return later503;
+    const until = later(this.clock.steady(), ABORT_WATCH);
+    while (this.clock.steady() < until) {
+      await sleep(this.clock, ABORT_LOOK);
+      const now = await this.front.lookup(JobId(id));
+      if (now.kind === 'final' || (now.kind === 'live' && now.job.aborted))
+        return this.held(id, now);
+    }
+    return later503;
+  }
+
+  private held(id: string, held: Held): Reply {
+    switch (held.kind) {
+      case 'live':
+        return { status: 200, body: this.jobBody(held.job) };
+      case 'final':
+        return { status: 200, body: this.finalBody(id, held.final) };
+      case 'absent':
+        return notFound;
+      case 'unsure':
+        return later503;
+    }
   }
 
   private answer(id: string, answer: Answer, absent: Reply): Reply {
@@ -317,6 +355,8 @@
     }
     const node = this.election.leader();
     if (relayed || node === undefined || node === this.settings.node) return { status: 503 };
+    // Whom we take for the leader may be gone for long.
+    if (this.around.alone()) return { status: 503 };
     return this.sendOn(parsed.data.box as MachineId, node, body);
   }
 
@@ -351,10 +391,9 @@
     let reply: Reply;
     switch (request.kind) {
       case 'ping':
-        reply = { status: 200 };
-        break;
+        return { status: 200, retryAfter: 0, body: this.around.ping(request.body) };
       case 'hints':
-        this.onHints(request.body);
+        this.around.hints(request.body);
         reply = { status: 200 };
         break;
       case 'notice': {
--- a/src/fleet/machine.ts
+++ b/src/fleet/machine.ts
@@ -102,6 +102,8 @@
   private loaded: Load | undefined;
   /** Attempts whose start was sent directly and not answered: it may still arrive. */
   readonly doubts = new Set<string>();
+  /** Attempts of this session whose start was sent straight and carried out, and when they ended. */
+  readonly direct = new Map<string, { ended: SteadyMs | undefined }>();
   readonly images: ImageCache;
   /** What another leader knew of its images has been taken in. */
   hinted = false;
@@ -153,7 +155,7 @@
   take(r: Report, now: SteadyMs): boolean {
     if (!this.isNewer(r)) return false;
     // A new session has dropped the tasks of the old one and refuses its commands.
-    if (this.report && r.shift > this.report.shift) this.doubts.clear();
+    if (this.report && r.shift > this.report.shift) this.fenced();
     this.report = r;
     this.loaded = undefined;
     this.up = true;
@@ -177,7 +179,13 @@
     this.report = undefined;
     this.loaded = undefined;
     this.up = false;
+    this.fenced();
+  }
+
+  /** The session before is over: nothing that was sent to it is carried out any more. */
+  private fenced(): void {
     this.doubts.clear();
+    this.direct.clear();
   }
 
   get draining(): boolean {
--- a/src/leader/election.ts
+++ b/src/leader/election.ts
@@ -10,6 +10,7 @@
   later,
   ms,
   shrunk,
+  since,
   sleep,
   type Clock,
   type DurationMs,
@@ -23,6 +24,9 @@
 const CALL_TIMEOUT = ms(1500);
 const RETRY = ms(300);
 const WATCH = ms(10_000);
+/** The state service is probed after so much silence. */
+const QUIET = ms(2000);
+const PROBE_TIMEOUT = ms(1200);
 
 export interface ElectionEvents {
   gained(epoch: Epoch): void;
@@ -49,7 +53,11 @@
 export class Election {
   private reign: Reign | undefined;
   private holder: NodeId | undefined;
+  /** The stamp of the leader key that named the holder, by our own reading or another node's. */
+  private holderEpoch = 0;
   private stopped = false;
+  /** Ends the wait for a change of the leader key. */
+  private nudge: (() => void) | undefined;
 
   constructor(
     private readonly store: StoreClient,
@@ -73,6 +81,18 @@
     return this.reign ? this.node : this.holder;
   }
 
+  /** The epoch of the leader that we know of. */
+  leaderEpoch(): number {
+    return this.reign?.epoch ?? this.holderEpoch;
+  }
+
+  /** Another node knows of a later leader: our own reading may be stale, or the store be out for us. */
+  heard(node: NodeId, epoch: number): void {
+    if (this.reign || epoch <= this.holderEpoch || node === this.node) return;
+    this.holder = node;
+    this.holderEpoch = epoch;
+  }
+
   stop(): void {
     this.stopped = true;
   }
@@ -95,6 +115,7 @@
   private begin(epoch: Epoch, lease: number, until: SteadyMs): void {
     this.reign = { epoch, lease, until };
     this.holder = this.node;
+    this.holderEpoch = epoch;
     this.store.setRole('leading');
     this.log.info({ epoch }, 'leadership gained');
     this.events.gained(epoch);
@@ -159,12 +180,30 @@
       await this.take(read.stamp);
       return;
     }
-    this.holder = holder.success ? NodeId(holder.data.node) : undefined;
+    if (read.stamp >= this.holderEpoch) {
+      this.holder = holder.success ? NodeId(holder.data.node) : undefined;
+      this.holderEpoch = read.stamp;
+    }
     this.store.setRole('following');
-    const change = await this.store.follow(LEADER_KEY, read.stamp, WATCH);
+    // A watch on a connection that leads nowhere any more would keep us from noticing a change.
+    const nudged = new Promise<'nudged'>((resolve) => (this.nudge = () => resolve('nudged')));
+    const change = await Promise.race([this.store.follow(LEADER_KEY, read.stamp, WATCH), nudged]);
+    this.nudge = undefined;
     if (change === undefined) await sleep(this.clock, ms(RETRY * (0.5 + this.random())));
   }
 
+  /**
+   * Looks whether the state service serves us, beside the watch, when it has not been heard from for
+   * a while. What it says of the leader key counts too.
+   */
+  async probe(): Promise<void> {
+    if (this.reign || since(this.store.servedAt, this.clock.steady()) < QUIET) return;
+    const read = await this.store.get(LEADER_KEY, PROBE_TIMEOUT, true);
+    const changed =
+      read.kind === 'absent' || (read.kind === 'found' && read.stamp !== this.holderEpoch);
+    if (changed) this.nudge?.();
+  }
+
   private async take(over: Revision): Promise<void> {
     const sent = this.clock.steady();
     const lease = await this.store.createLease(this.terms.lease, CALL_TIMEOUT);
--- a/src/leader/orders.ts
+++ b/src/leader/orders.ts
@@ -1,7 +1,16 @@
 import { attemptKey, toReport, type Machine, type Report } from '../fleet/machine.js';
-import type { Job } from '../ledger/job.js';
-import { later, ms, parseTaskKey, seconds, type Epoch, type MachineId } from '../units/index.js';
-import { Beat, type Order } from '../wire/index.js';
+import type { Final, Job } from '../ledger/job.js';
+import {
+  later,
+  ms,
+  parseTaskKey,
+  seconds,
+  since,
+  type Epoch,
+  type JobId,
+  type MachineId,
+} from '../units/index.js';
+import { Beat, type Entry, type Order } from '../wire/index.js';
 import type { Board } from './board.js';
 import type { TermDeps } from './deps.js';
 
@@ -11,6 +20,9 @@
 /** Orders that fit a response to a worker with room to spare. */
 const MAX_ORDERS = 300;
 
+/** Repeats of messages come up to this many worker leases late. */
+const REPEAT_LEASES = 3;
+
 /** What workers are told: in the answers to their reports, and straight where it should not wait. */
 export class Orders {
   private readonly pushes = new Set<Machine>();
@@ -46,11 +58,8 @@
       const p = job?.placed.get(ref.index);
       const mine = p !== undefined && p.machine === m.id && p.attempt === e.try;
       if (e.status === 'exited') {
-        // A late start of an attempt that was cleared would run it once more.
-        if (m.doubts.has(attemptKey(e.entry, e.try))) continue;
-        // The worker's word is the only record of a finish until ours is written.
-        const safe = e.cause !== 'done' || !job || (job.isDone(ref.index) && finishKept(job));
-        if (safe && !mine) out.push({ verb: 'clear', entry: e.entry, try: e.try });
+        if (mine || !this.mayClear(m, e, job, ref.job, ref.index)) continue;
+        out.push({ verb: 'clear', entry: e.entry, try: e.try });
       } else if (!mine || job?.aborted) {
         out.push({ verb: 'kill', entry: e.entry, try: e.try, wind_down_s: 0 });
       } else if (p.evict !== undefined) {
@@ -81,6 +90,38 @@
     return out;
   }
 
+  /**
+   * Whether a worker may forget an attempt that has ended. Once it has, the same start would run it
+   * again: one that is still on its way, or the repeat of one that was carried out long ago.
+   */
+  private mayClear(m: Machine, e: Entry, job: Job | undefined, id: JobId, index: number): boolean {
+    const attempt = attemptKey(e.entry, e.try);
+    if (m.doubts.has(attempt)) return false;
+    const done = e.cause === 'done';
+    // The worker's word is the only record of a finish until ours is written.
+    if (done && job && !(job.isDone(index) && finishKept(job))) return false;
+    const direct = m.direct.get(attempt);
+    if (direct === undefined) return true;
+    // What is done ends at once if it is started again, and harms nobody unless it must not be there.
+    if (done && !this.bound(job, this.board.ledger.final(id))) {
+      m.direct.delete(attempt);
+      return true;
+    }
+    const now = this.deps.clock.steady();
+    direct.ended ??= now;
+    if (since(direct.ended, now) < this.deps.settings.workers.lease * REPEAT_LEASES) return false;
+    m.direct.delete(attempt);
+    return true;
+  }
+
+  /** Whether a task of the job would break something even in the moment that it takes to end. */
+  private bound(job: Job | undefined, final: Final | undefined): boolean {
+    const team = this.deps.settings.teams.get(job?.spec.desk ?? final?.desk ?? '');
+    const limited = team !== undefined && (team.cpusMax > 0 || team.gpusMax > 0);
+    if (!job) return limited || final?.status !== 'done';
+    return limited || job.aborted || job.spec.together || job.spec.apart;
+  }
+
   // --- direct orders ----------------------------------------------------------------------------
 
   /** Orders that should not wait for the next report are sent to the machine in this turn's end. */
@@ -121,7 +162,10 @@
     if (this.closed) return;
     if (outcome.kind === 'answer') {
       // Carried out or refused: either way nothing of it is under way any more.
-      for (const attempt of started) m.doubts.delete(attempt);
+      for (const attempt of started) {
+        m.doubts.delete(attempt);
+        m.direct.set(attempt, { ended: undefined });
+      }
       const body = Beat.safeParse(outcome.body);
       if (body.success && !this.board.fleet.isGone(m.id) && body.data.box === m.id) {
         const r = toReport(body.data);
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -26,6 +26,7 @@
 
 const TICK = ms(500);
 const HINTS_EVERY = seconds(4);
+const FLEET_EVERY = seconds(10);
 const STORE_TIMEOUT = ms(2000);
 /** A submission that would wait longer for its turn to be written is refused at once. */
 const MOST_INTAKE_WAIT = ms(1000);
@@ -48,6 +49,7 @@
   private readonly reports: Reports;
   private readonly dispatch: Dispatch;
   private hintsSent: SteadyMs;
+  private fleetTold: SteadyMs;
   private ruled = true;
   private listening: SteadyMs;
   private closed = false;
@@ -61,6 +63,7 @@
     const began = clock.steady();
     this.listening = began;
     this.hintsSent = began;
+    this.fleetTold = began;
     this.ledger = new Ledger(deps.store, epoch, settings.state.txnOps, clock, random, log, {
       committed: (job) => this.onCommitted(job),
       adopted: (job) => this.board.readopt(job),
@@ -156,6 +159,7 @@
       this.expire();
       if (ruling) {
         this.sendHints();
+        this.tellFleet();
         this.dispatch.wake();
         this.capacity.tick();
       }
@@ -166,6 +170,32 @@
     this.ticker = this.deps.clock.after(TICK, () => this.tick());
   }
 
+  /** Now and then, for those on call: what there is, what is in use, and what waits. */
+  private tellFleet(): void {
+    const now = this.deps.clock.steady();
+    if (since(this.fleetTold, now) < FLEET_EVERY) return;
+    this.fleetTold = now;
+    const machines: Record<string, { up: number; booting: number; cpus: number; used: number }> =
+      {};
+    for (const m of this.fleet.machines.values()) {
+      const flavor = this.deps.catalog.flavor(m.place.build);
+      if (!flavor) continue;
+      const key = `${m.place.build} ${m.place.spot ? 'spot' : 'plain'}`;
+      const sum = (machines[key] ??= { up: 0, booting: 0, cpus: 0, used: 0 });
+      if (m.up) {
+        sum.up++;
+        sum.cpus += flavor.vcpus;
+        sum.used += Math.round(this.fleet.load(m).used.cpus);
+      } else if (m.bootingSince !== undefined) sum.booting++;
+    }
+    const waiting: Record<string, number> = {};
+    for (const job of this.ledger.jobs.values()) {
+      if (job.aborted || job.waiting.size === 0) continue;
+      waiting[job.spec.docket] = (waiting[job.spec.docket] ?? 0) + job.waiting.size;
+    }
+    this.deps.log.info({ machines, jobs: this.ledger.jobs.size, waiting }, 'fleet');
+  }
+
   /** The other nodes get to know what only this leader remembers, in case one takes over. */
   private sendHints(): void {
     const now = this.deps.clock.steady();
@@ -276,16 +306,17 @@
     return this.known(id) ?? { kind: 'unsure' };
   }
 
-  /** Jobs that other nodes took in while they could not reach a leader. */
+  /** What other nodes did and ask for while they could not reach a leader. */
   private async watchNotices(): Promise<void> {
     while (!this.closed) {
       const notices = await this.deps.front.notices();
       if (this.closed) return;
       if (notices) {
-        for (const id of notices.ids) {
-          const answer = await this.find(id);
+        for (const { key, id, abort } of notices.notices) {
+          const answer = abort ? await this.abort(id) : await this.find(id);
           if (this.closed) return;
-          if (answer.kind !== 'unsure') this.ledger.forgetNotice(this.deps.front.noticeKey(id));
+          // One that comes again while it is forgotten asks for nothing that has not been done.
+          if (answer.kind !== 'unsure') this.ledger.forgetNotice(key);
         }
         const change = await this.deps.front.followNotices(notices.revision);
         if (change) continue;
--- a/src/ledger/front.ts
+++ b/src/ledger/front.ts
@@ -6,6 +6,7 @@
 import { LEADER_KEY } from './ledger.js';
 
 const NOTICES = 'inbox/';
+const ABORT = '/abort';
 const TIMEOUT = ms(1500);
 const WATCH = ms(10_000);
 
@@ -15,6 +16,13 @@
   | { kind: 'absent' }
   | { kind: 'unsure' };
 
+/** What another node did, or asks for, on behalf of a user while it can't reach the leader. */
+export interface Notice {
+  readonly key: string;
+  readonly id: JobId;
+  readonly abort: boolean;
+}
+
 /**
  * What any node may do with the store itself, without being leader: look a job up, take a job in
  * that is not there yet, and cancel one while there is no leader at all.
@@ -97,17 +105,32 @@
     return job.settled ? { kind: 'final', final: job.final() } : held;
   }
 
-  noticeKey(id: JobId): string {
+  /** Leaves word for a leader that can't be reached that a user cancels the job. */
+  async requestAbort(id: JobId): Promise<boolean> {
+    const put = await this.store.multi(
+      [{ key: doneKey(id), stamp: 0 }],
+      [{ put: `${this.noticeKey(id)}${ABORT}`, data: {} }],
+      TIMEOUT,
+    );
+    return put.kind === 'committed';
+  }
+
+  private noticeKey(id: JobId): string {
     return `${NOTICES}${id}`;
   }
 
-  async notices(): Promise<{ ids: JobId[]; revision: Revision } | undefined> {
+  async notices(): Promise<{ notices: Notice[]; revision: Revision } | undefined> {
     const listed = await this.store.list(NOTICES, TIMEOUT);
     if (!listed) return undefined;
-    return {
-      ids: listed.items.map((i) => JobId(i.key.slice(NOTICES.length))),
-      revision: listed.revision,
-    };
+    const notices = listed.items.map(({ key }) => {
+      const abort = key.endsWith(ABORT);
+      return {
+        key,
+        id: JobId(key.slice(NOTICES.length, abort ? -ABORT.length : undefined)),
+        abort,
+      };
+    });
+    return { notices, revision: listed.revision };
   }
 
   /** Waits for a further notice; false if that could not be done. */
--- a/src/main.ts
+++ b/src/main.ts
@@ -72,7 +72,6 @@
   api.on('error', failed('listening for users and workers'));
   peers.on('error', failed('listening for the other nodes'));
   open();
-  for (const link of links.values()) link.start();
   controller.start();
   log.info({ area: settings.area }, 'started');
 }
--- a/src/node.ts
+++ b/src/node.ts
@@ -11,8 +11,9 @@
 import { Term } from './leader/term.js';
 import type { HttpClient } from './net/http.js';
 import type { Peer } from './peer/channel.js';
+import { Pulses, recently } from './peer/pulses.js';
 import { StoreClient } from './store/client.js';
-import { ms, seconds, sleep, type Clock, type NodeId, type Random } from './units/index.js';
+import { NodeId, ms, seconds, sleep, type Clock, type Random } from './units/index.js';
 import { MAX_BODY, decode, encode } from './wire/index.js';
 
 const CATALOG_KEY = 'catalog';
@@ -37,6 +38,7 @@
   readonly election: Election;
   private readonly store: StoreClient;
   private readonly catalog = new Catalog();
+  private readonly pulses: Pulses;
   private term: Term | undefined;
   private hints: Hints = {};
   private stopped = false;
@@ -103,7 +105,23 @@
       world.peers,
       clock,
       log,
-      (body) => this.takeHints(body),
+      {
+        hints: (body) => this.takeHints(body),
+        ping: (body) => this.pulses.answer(body),
+        alone: () => this.pulses.alone(this.store.servedAt),
+      },
+    );
+    this.pulses = new Pulses(
+      world.peers,
+      clock,
+      () => ({
+        leader: this.election.leader() ?? '',
+        epoch: this.election.leaderEpoch(),
+        store: recently(this.store.servedAt, clock.steady()),
+      }),
+      (pulse) => {
+        if (pulse.leader !== '') this.election.heard(NodeId(pulse.leader), pulse.epoch);
+      },
     );
   }
 
@@ -126,15 +144,25 @@
   start(): void {
     void this.election.serve();
     void this.readCatalog();
+    void this.probeStore();
+    this.pulses.start();
   }
 
   /** For tests: what a killed process no longer does. */
   stop(): void {
     this.stopped = true;
     this.election.stop();
+    this.pulses.stop();
     this.term?.close();
   }
 
+  private async probeStore(): Promise<void> {
+    while (!this.stopped) {
+      await this.election.probe();
+      await sleep(this.world.clock, ms(1000));
+    }
+  }
+
   /** The types as the leader last kept them, so that this node can judge submissions. */
   private async readCatalog(): Promise<void> {
     while (!this.stopped) {
--- a/src/peer/channel.ts
+++ b/src/peer/channel.ts
@@ -1,15 +1,7 @@
 import net from 'node:net';
 import { pipeline } from 'node:stream/promises';
 import type { Logger } from 'pino';
-import {
-  SteadyMs,
-  later,
-  ms,
-  type Clock,
-  type DurationMs,
-  type Endpoint,
-  type Timer,
-} from '../units/index.js';
+import { SteadyMs, later, ms, type Clock, type DurationMs, type Endpoint } from '../units/index.js';
 import {
   Deframer,
   Framer,
@@ -45,8 +37,6 @@
 
 const CONNECT_TIMEOUT = ms(700);
 const RECONNECT = ms(500);
-const PING_EVERY = ms(1000);
-const PING_TIMEOUT = ms(800);
 
 /** A kept connection to another node, dialled again when it breaks. */
 export class PeerLink implements Peer {
@@ -57,7 +47,6 @@
   private readonly open = new Map<number, (t: Told | undefined) => void>();
   private suspect = true;
   private dialAgain = SteadyMs(0);
-  private timer: Timer | undefined;
   private closed = false;
 
   constructor(
@@ -70,25 +59,11 @@
     return this.connected && !this.suspect;
   }
 
-  start(): void {
-    void this.keep();
-  }
-
   close(): void {
     this.closed = true;
-    this.timer?.cancel();
     this.socket?.destroy();
   }
 
-  /** Pings, so that a node that fell silent is known before a user's request depends on it. */
-  private async keep(): Promise<void> {
-    if (this.closed) return;
-    const ping: PeerRequest = { kind: 'ping', method: '', path: '', body: Buffer.alloc(0) };
-    const told = await this.ask(ping, PING_TIMEOUT);
-    if (!told && this.connected && this.suspect) this.drop('no answer to a ping');
-    this.timer = this.clock.after(PING_EVERY, () => void this.keep());
-  }
-
   private dial(): void {
     if (this.socket || this.closed || this.clock.steady() < this.dialAgain) return;
     const cut = this.endpoint.lastIndexOf(':');
@@ -152,6 +127,9 @@
       framer.write(encodeAsk({ id, ...request }));
     });
     this.suspect = told === undefined;
+    // A node that does not even answer a ping is dialled anew: the connection may lead nowhere.
+    if (!told && request.kind === 'ping' && this.framer === framer)
+      this.drop('no answer to a ping');
     return told;
   }
 }
--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -48,6 +48,36 @@
   ],
 });
 
+/** What a node tells of itself with each ping and its answer. */
+export interface Pulse {
+  /** Who leads, and under which epoch, as far as it knows; empty if it knows of nobody. */
+  readonly leader: string;
+  readonly epoch: number;
+  /** Whether the state service served it lately. */
+  readonly store: boolean;
+}
+
+const PulseType = avro.Type.forSchema({
+  type: 'record',
+  name: 'Pulse',
+  fields: [
+    { name: 'leader', type: 'string' },
+    { name: 'epoch', type: 'long' },
+    { name: 'store', type: 'boolean' },
+  ],
+});
+
+export const encodePulse = (p: Pulse): Buffer => PulseType.toBuffer(p);
+
+/** Undefined for anything that is not one: a node of another version may send none. */
+export function decodePulse(b: Buffer): Pulse | undefined {
+  try {
+    return PulseType.fromBuffer(b) as Pulse;
+  } catch {
+    return undefined;
+  }
+}
+
 export const encodeAsk = (a: Ask): Buffer => AskType.toBuffer(a);
 export const decodeAsk = (b: Buffer): Ask => AskType.fromBuffer(b) as Ask;
 export const encodeTold = (t: Told): Buffer => ToldType.toBuffer(t);
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -8,6 +8,7 @@
   type DurationMs,
   type Endpoint,
   type Random,
+  type SteadyMs,
 } from '../units/index.js';
 import {
   Committed,
@@ -69,6 +70,7 @@
   private requests: Bucket;
   private writes: Bucket;
   private role: Role = 'leaderless';
+  private served: SteadyMs;
 
   constructor(
     private readonly http: HttpClient,
@@ -80,6 +82,12 @@
   ) {
     this.requests = this.bucket(limits.rps, 'requests');
     this.writes = this.bucket(limits.writeRps, 'writes');
+    this.served = clock.steady();
+  }
+
+  /** When it last answered with anything but a refusal to serve. */
+  get servedAt(): SteadyMs {
+    return this.served;
   }
 
   private bucket(rate: number, what: 'requests' | 'writes'): Bucket {
@@ -117,6 +125,7 @@
       }
     }
     const outcome = await this.http.send({ ...request, endpoint: this.endpoint });
+    if (outcome.kind === 'answer' && outcome.status !== 503) this.served = this.clock.steady();
     if (outcome.kind === 'answer' && outcome.status === 429) {
       this.requests.drain();
       if (writes > 0) this.writes.drain();
--- a/test/sim/fleet.test.ts
+++ b/test/sim/fleet.test.ts
@@ -2,9 +2,16 @@
 import { test } from 'node:test';
 import { World } from '../standin/world.js';
 
+/** A world whose machines all come up, so that a test finds the fleet that it counts on. */
+function sure(seed: number): World {
+  const world = new World({ seed });
+  world.cloud.neverUp = 0;
+  return world;
+}
+
 /** A world in which a long job runs and the fleet has been up for longer than any boot takes. */
 async function working(seed: number): Promise<{ world: World; fleet: string[] }> {
-  const world = new World({ seed });
+  const world = sure(seed);
   await world.run(3000);
   world.submit({ entries: 8, vcpus: 3 }, 200_000);
   await world.run(70_000);
@@ -45,7 +52,7 @@
     [21, 150],
     [22, 8000],
   ] as const) {
-    const world = new World({ seed });
+    const world = sure(seed);
     await world.run(3000);
     // Its machine holds the image, has room, and is not given back meanwhile.
     const other = world.submit({ entries: 1 }, 300_000);
@@ -65,7 +72,7 @@
 });
 
 void test('a job of very many tasks keeps its record within a value of the store', async () => {
-  const world = new World({ seed: 31 });
+  const world = sure(31);
   await world.run(3000);
   world.submit({ entries: 100_000, vcpus: 0.1, ram_gb: 0.1 }, 2000, 60_000);
   await world.run(100_000);
@@ -76,7 +83,7 @@
 });
 
 void test('a finish stays with its worker until it is in the store', async () => {
-  const world = new World({ seed: 41 });
+  const world = sure(41);
   await world.run(3000);
   const other = world.submit({ entries: 1 }, 300_000);
   await world.run(25_000);
--- a/test/standin/cloud.ts
+++ b/test/standin/cloud.ts
@@ -25,6 +25,8 @@
   out = false;
   /** Machines that may be rented of each type, zone and kind. */
   capacity = 8;
+  /** The share of machines that never come up. */
+  neverUp = 0.03;
 
   constructor(
     private readonly time: Pick<VirtualTime, 'now' | 'after'>,
@@ -79,7 +81,7 @@
       ids.push(m.id);
       const ready = (this.flavor(h.build)?.ready_s ?? 10) * 1000;
       // Now and then one never boots.
-      if (this.random() < 0.03) continue;
+      if (this.random() < this.neverUp) continue;
       this.time.after(ready * (0.6 + 0.9 * this.random()), () => {
         if (m.goneAt !== undefined) return;
         m.running = true;
--- a/test/standin/day.ts
+++ b/test/standin/day.ts
@@ -17,7 +17,14 @@
   ] as const) {
     world.network.cut(a, b, false);
   }
-  for (const id of world.workers.keys()) world.hangWorker(id, false);
+  for (const id of world.workers.keys()) {
+    world.hangWorker(id, false);
+    world.deafen(id, false);
+  }
+  world.reunite();
+  world.refusePeers(false);
+  world.copies(0);
+  world.calm();
   await world.run(240_000);
   assert.deepEqual(world.broken, [], name);
   assert.deepEqual(world.unfinished(), [], name);
@@ -28,6 +35,7 @@
   const world = new World({ seed: seed, loss: 0.01 });
   const r = world.random;
   const pick = <T>(list: readonly T[]): T => list[Math.floor(r() * list.length)] as T;
+  world.copies(0.02);
   await world.run(1500);
   const zones = ['a', 'b', 'c'] as const;
   for (let s = 0; s < 40; s++) {
@@ -59,7 +67,7 @@
       ['a', 'c'],
     ] as const);
     const ids = [...world.workers.keys()];
-    switch (Math.floor(r() * 16)) {
+    switch (Math.floor(r() * 22)) {
       case 0:
       case 1: {
         const victim = r() < 0.6 ? (world.leaderNode() ?? n) : n;
@@ -101,6 +109,31 @@
       case 10:
         if (ids.length > 0) world.recall(pick(ids), r() * 20_000);
         break;
+      case 12:
+      case 13:
+        if (ids.length > 0) {
+          const id = pick(ids);
+          world.deafen(id, true);
+          later(5000 + r() * 60_000, () => world.deafen(id, false));
+        }
+        break;
+      case 14:
+        world.isolate(r() < 0.6 ? (world.leaderNode() ?? n) : n, r() < 0.5);
+        later(3000 + r() * 50_000, () => world.reunite());
+        break;
+      case 15:
+        world.refusePeers(true);
+        later(3000 + r() * 40_000, () => world.refusePeers(false));
+        break;
+      case 16:
+        // Back within a fraction of a second, and in the middle of the election that follows.
+        for (const k of [0, 1, 2]) world.killNode(k);
+        for (const k of [0, 1, 2]) {
+          later(50 + r() * 450, () => world.startNode(k));
+          later(500 + r() * 700, () => world.killNode(k));
+          later(1200 + r() * 500, () => world.startNode(k));
+        }
+        break;
       case 11:
         for (const id of ids) if (r() < 0.4) world.cloud.end(id);
         break;
--- a/test/standin/network.ts
+++ b/test/standin/network.ts
@@ -32,12 +32,41 @@
 export class Network {
   private readonly hosts = new Map<string, Host>();
   private readonly cuts = new Set<string>();
-  private held: { from: string; to: string; go: () => void }[] = [];
+  private held: { host: string; from: string; to: string; go: () => void }[] = [];
   /** The share of answers that get lost, and of requests. */
   loss = 0;
   /** Requests to this path stay under way until it is cleared; then they arrive, late. */
   private holdPath: string | undefined;
 
+  /** Hosts whose reports leave, while answers and commands don't reach them. */
+  private readonly deaf = new Set<string>();
+  /** Hosts that can't reach some addresses, and whether those refuse them or stay silent. */
+  private readonly apart = new Map<string, { to: (address: string) => boolean; refuse: boolean }>();
+  private readonly refusing = new Set<string>();
+  /** Requests of which a copy arrives once more, late, and where; undefined: none of this one. */
+  copy: ((path: string, to: string) => { to: string; after: number } | undefined) | undefined;
+
+  deafen(host: string, on: boolean): void {
+    if (on) this.deaf.add(host);
+    else this.deaf.delete(host);
+  }
+
+  /** Keeps a host from some addresses. */
+  keepApart(host: string, to: (address: string) => boolean, refuse: boolean): void {
+    this.apart.set(host, { to, refuse });
+  }
+
+  reunite(host: string): void {
+    this.apart.delete(host);
+    this.release();
+  }
+
+  /** A packet filter before an address. */
+  refuse(address: string, on: boolean): void {
+    if (on) this.refusing.add(address);
+    else this.refusing.delete(address);
+  }
+
   hold(path: string | undefined): void {
     this.holdPath = path;
     if (path === undefined) this.release();
@@ -77,16 +106,22 @@
   private release(): void {
     const held = this.held;
     this.held = [];
-    for (const h of held) this.forward(h.from, h.to, h.go);
+    for (const h of held) this.forward(h.host, h.from, h.to, h.go);
   }
 
-  private blocked(fromZone: string, to: string): boolean {
+  private blocked(from: string, fromZone: string, to: string): boolean {
+    if (this.apart.get(from)?.to(to)) return true;
     const host = this.hosts.get(to);
     return host !== undefined && (host.hung || this.cuts.has(`${fromZone}|${host.zone}`));
   }
 
-  private forward(fromZone: string, to: string, go: () => void): void {
-    if (this.blocked(fromZone, to)) this.held.push({ from: fromZone, to, go });
+  private refused(from: string, to: string): boolean {
+    const apart = this.apart.get(from);
+    return this.refusing.has(to) || (apart !== undefined && apart.refuse && apart.to(to));
+  }
+
+  private forward(host: string, fromZone: string, to: string, go: () => void): void {
+    if (this.blocked(host, fromZone, to)) this.held.push({ host, from: fromZone, to, go });
     else this.time.after(1 + this.random() * 4, go);
   }
 
@@ -113,33 +148,43 @@
       resolve(o);
     };
     const to = request.endpoint;
+    if (this.refused(from, to)) {
+      this.time.after(1, () => resolve({ kind: 'undelivered', why: 'refused' }));
+      return;
+    }
     // A new connection into a cut is given up and comes to nothing; a kept one carries on later.
     const kept = this.random() < 0.6;
     let sent = false;
     const timer = this.time.after(request.timeout, () =>
       settle({ kind: sent ? 'unknown' : 'undelivered', why: 'no answer in time' }),
     );
-    if (this.blocked(zone, to) && !kept) return;
+    if (this.blocked(from, zone, to) && !kept) return;
     sent = true;
     const body = through(request.body);
-    if (this.random() < this.loss) return;
+    if (this.random() < this.loss || this.deaf.has(to)) return;
+    const call = (at: string): Promise<Answered> | undefined => {
+      const handler = this.hosts.get(at)?.handler;
+      return handler && Promise.resolve(handler(request.method, request.path, body, from));
+    };
     const arrive = (): void => {
-      const host = this.hosts.get(to);
-      if (!host?.handler) {
+      const again = this.copy?.(request.path, to);
+      if (again) this.time.after(again.after, () => void call(again.to));
+      const answered = call(to);
+      if (!answered) {
         settle({ kind: 'undelivered', why: 'refused' });
         return;
       }
-      void Promise.resolve(host.handler(request.method, request.path, body, from)).then((a) => {
-        if (this.random() < this.loss) return;
+      void answered.then((a) => {
+        if (this.random() < this.loss || this.deaf.has(from)) return;
         const answer = through(a.body);
         this.time.after(1 + this.random() * 4, () => {
           // The way back is cut as well: the sender has long given up when it is open again.
-          if (this.blocked(zone, to)) return;
+          if (this.blocked(from, zone, to)) return;
           settle({ kind: 'answer', status: a.status, body: answer });
         });
       });
     };
-    if (request.path === this.holdPath) this.held.push({ from: zone, to, go: arrive });
-    else this.forward(zone, to, arrive);
+    if (request.path === this.holdPath) this.held.push({ host: from, from: zone, to, go: arrive });
+    else this.forward(from, zone, to, arrive);
   }
 }
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -11,6 +11,7 @@
 import { encode, type Flavor, type JobSpec } from '../../src/wire/index.js';
 import { spec } from '../support/jobs.js';
 import { settingsFile } from '../support/settings.js';
+import { Balancer } from './balancer.js';
 import { ProcessClock, VirtualTime } from './clock.js';
 import { Cloud, type Rented } from './cloud.js';
 import { Network } from './network.js';
@@ -56,8 +57,16 @@
   /** When the user was told that it is cancelled. */
   abortedAt: number | undefined;
   readonly completed: Set<number>;
+  /** When a question about it was last answered. */
+  answeredAt: number;
+  /** The process that its user's connection is open to. */
+  connection: { n: number; process: Process } | undefined;
 }
 
+/** Questions about a job go unanswered for at most so long, while others are answered, and at all. */
+const UNANSWERED_AMONG_OTHERS = 90_000;
+const UNANSWERED_IN_CALM = 75_000;
+
 export interface WorldOptions {
   readonly seed: number;
   readonly zones?: readonly string[];
@@ -81,6 +90,11 @@
   private readonly zones: readonly string[];
   private readonly log: Logger;
   private jobCounter = 0;
+  private readonly balancer: Balancer;
+  /** Since when all troubles are over. */
+  private calmSince: number | undefined;
+  /** Of the last questions: when, and whether they were answered. */
+  private asked: { at: number; ok: boolean }[] = [];
 
   constructor(options: WorldOptions) {
     const generator = xoroshiro128plus(options.seed);
@@ -112,7 +126,19 @@
     this.network.attach(STATE, REGION, (m, p, b, from) => this.state.handle(m, p, b, from));
     this.network.attach(CLOUD, REGION, (m, p, b) => this.cloud.handle(m, p, b));
     for (const n of [0, 1, 2]) this.startNode(n);
+    this.balancer = new Balancer(this.time, this.random, 3, async (n) => {
+      const { api } = parseSettings(settingsFile(n, this.zones));
+      const client = this.network.client('balancer', REGION, this.user);
+      const o = await client.send({ endpoint: api, method: 'GET', path: '/up', timeout: ms(1000) });
+      return o.kind === 'answer' && o.status === 200;
+    });
     this.watchCancelled();
+    this.watchAnswers();
+  }
+
+  /** From now on nothing goes wrong any more. */
+  calm(): void {
+    this.calmSince = this.time.now;
   }
 
   // --- controllers ------------------------------------------------------------------------------
@@ -140,6 +166,7 @@
     });
     this.network.attach(api, settings.area, async (method, path, body) => {
       const bytes = body === undefined ? Buffer.alloc(0) : encode(body);
+      if (path === '/up') return controller.service.up();
       return path === '/agent/beat'
         ? controller.service.beat(bytes)
         : controller.service.user(method, path, bytes);
@@ -229,6 +256,54 @@
     this.network.hang(w.machine.addr, hung);
   }
 
+  /** Its reports arrive, but answers and commands don't reach it. */
+  deafen(id: string, on: boolean): void {
+    const w = this.workers.get(id);
+    if (!w) return;
+    this.network.deafen(id, on);
+    this.network.deafen(w.machine.addr, on);
+  }
+
+  /** A controller loses the state service and the other controllers, but not workers and users. */
+  isolate(n: number, refuse: boolean): void {
+    const all = [0, 1, 2].map((k) => parseSettings(settingsFile(k, this.zones)));
+    const clusters = new Set<string>(all.map((s) => s.cluster));
+    const own = all[n]?.cluster;
+    for (const s of all) {
+      this.network.keepApart(
+        s.node,
+        s === all[n] ? (to) => to === STATE || clusters.has(to) : (to) => to === own,
+        refuse,
+      );
+    }
+  }
+
+  reunite(): void {
+    for (const n of [0, 1, 2]) this.network.reunite(`node-${n}`);
+  }
+
+  /** Connections between controllers are refused. */
+  refusePeers(on: boolean): void {
+    for (const n of [0, 1, 2]) this.network.refuse(`10.0.0.${n + 1}:8081`, on);
+  }
+
+  /** Of so large a share of the messages to controllers and workers a copy comes late, anywhere. */
+  copies(share: number): void {
+    const apis = [0, 1, 2].map((n) => `10.0.0.${n + 1}:8080`);
+    this.network.copy =
+      share <= 0
+        ? undefined
+        : (path, to) => {
+            if (to === STATE || to === CLOUD || path === '/up' || this.random() >= share) return;
+            const lease = this.settings.workers.lease;
+            const any = apis[Math.floor(this.random() * apis.length)] ?? to;
+            return {
+              to: apis.includes(to) ? any : to,
+              after: 1000 + this.random() * 2 * lease,
+            };
+          };
+  }
+
   recall(id: string, inMs: number): void {
     const w = this.workers.get(id);
     if (!w) return;
@@ -330,6 +405,27 @@
     });
   }
 
+  private watchAnswers(): void {
+    this.time.after(1000, () => {
+      const { now } = this.time;
+      this.asked = this.asked.filter((q) => now - q.at < UNANSWERED_AMONG_OTHERS);
+      const most = this.asked.filter((q) => q.ok).length * 2 > this.asked.length;
+      for (const [id, job] of this.jobs) {
+        if (!job.accepted) continue;
+        if (most && now - job.answeredAt > UNANSWERED_AMONG_OTHERS) {
+          this.rule('forgotten', `${id}: unanswered while others are not`);
+          job.answeredAt = now;
+        }
+        if (this.calmSince === undefined) continue;
+        if (now - Math.max(job.answeredAt, this.calmSince) > UNANSWERED_IN_CALM) {
+          this.rule('forgotten', `${id}: unanswered though all troubles are over`);
+          job.answeredAt = now;
+        }
+      }
+      this.watchAnswers();
+    });
+  }
+
   private rule(name: string, what: string): void {
     this.broken.push(`${name} at ${Math.round(this.time.now)}: ${what}`);
   }
@@ -338,14 +434,35 @@
 
   private readonly user = new ProcessClock(this.time, 0, 0);
 
-  private async ask(method: 'GET' | 'POST', path: string, body: unknown, timeout: number) {
-    const alive = [...this.nodes.keys()];
-    const n = alive[Math.floor(this.random() * alive.length)];
+  /** Over the job's connection as long as that stands, else over a new one. */
+  private async ask(
+    method: 'GET' | 'POST',
+    path: string,
+    body: unknown,
+    timeout: number,
+    job?: Known,
+  ) {
+    const open = job?.connection;
+    let n =
+      open && this.nodes.get(open.n) === open.process && !this.balancer.resets(open.n)
+        ? open.n
+        : undefined;
+    const refused = new Set<number>();
+    for (let tries = 0; n === undefined && tries < 3; tries++) {
+      const chosen = this.balancer.choose(refused);
+      if (chosen === undefined) break;
+      if (this.nodes.has(chosen)) n = chosen;
+      else refused.add(chosen);
+    }
+    const process = n === undefined ? undefined : this.nodes.get(n);
+    if (job) job.connection = n === undefined || !process ? undefined : { n, process };
     if (n === undefined) return undefined;
     const endpoint = parseSettings(settingsFile(n, this.zones)).api;
     const client = this.network.client('user', REGION, this.user);
     const o = await client.send({ endpoint, method, path, body, timeout: ms(timeout) });
-    return o.kind === 'answer' ? o : undefined;
+    if (o.kind === 'answer') return o;
+    if (job) job.connection = undefined;
+    return undefined;
   }
 
   /** A user's job from its submission to its end; `abortAfter`: cancels it then. */
@@ -359,6 +476,8 @@
       abortAsked: false,
       abortedAt: undefined,
       completed: new Set(),
+      answeredAt: this.time.now,
+      connection: undefined,
     };
     this.jobs.set(id, job);
     this.keepSubmitting(id, job);
@@ -372,9 +491,10 @@
   }
 
   private keepSubmitting(id: string, job: Known): void {
-    void this.ask('POST', '/v1/jobs', job.spec, 5000).then((o) => {
+    void this.ask('POST', '/v1/jobs', job.spec, 5000, job).then((o) => {
       if (o?.status === 201 || o?.status === 200) {
         job.accepted = true;
+        job.answeredAt = this.time.now;
         this.tell(id, job, o.body);
         this.time.after(2000, () => this.keepPolling(id, job));
       } else {
@@ -385,18 +505,21 @@
   }
 
   private keepAborting(id: string, job: Known): void {
-    void this.ask('POST', `/v1/jobs/${id}/abort`, undefined, 5000).then((o) => {
+    void this.ask('POST', `/v1/jobs/${id}/abort`, undefined, 5000, job).then((o) => {
       if (o?.status === 200) this.tell(id, job, o.body);
       else this.time.after(1000, () => this.keepAborting(id, job));
     });
   }
 
   private keepPolling(id: string, job: Known): void {
-    void this.ask('GET', `/v1/jobs/${id}`, undefined, 2000).then((o) => {
+    void this.ask('GET', `/v1/jobs/${id}`, undefined, 2000, job).then((o) => {
+      const ok = o?.status === 200 || o?.status === 404;
+      if (ok) job.answeredAt = this.time.now;
+      this.asked.push({ at: this.time.now, ok });
       if (o?.status === 404) this.rule('forgotten', id);
       if (o?.status === 200) this.tell(id, job, o.body);
       // Also after its end: the answer must stay.
-      this.time.after(this.isOver(job) ? 15_000 : 3000, () => this.keepPolling(id, job));
+      this.time.after(this.isOver(job) ? 6000 : 3000, () => this.keepPolling(id, job));
     });
   }
 
