What fits nowhere else chooses first; rentals by what waits too long; nobody is passed over for minutes

Now jobs that fit on little of the fleet choose first among the equally urgent, others take contested kinds last; a job with nothing placed for 120 s comes first with a tenth of its tasks; the planner packs into room that is there, counts what gives way in time, and rents for the rest, ordinary machines only for what would be late.

--- a/src/capacity/keeper.ts
+++ b/src/capacity/keeper.ts
@@ -6,8 +6,7 @@
 import type { Fleet } from '../fleet/fleet.js';
 import type { Machine } from '../fleet/machine.js';
 import { fits, less, sizeOfFlavor, sizeOfSpec, type Size } from '../fleet/size.js';
-import type { Job } from '../ledger/job.js';
-import { dueBy } from '../ledger/queue.js';
+import { dueBy, type Place } from '../ledger/queue.js';
 import { Backoff } from '../store/budget.js';
 import {
   MachineId,
@@ -23,7 +22,17 @@
   type Random,
 } from '../units/index.js';
 import type { Box, Hire, JobSpec, Urgency } from '../wire/index.js';
-import { offerKey, plan, type Coming, type Demand, type Plan } from './planner.js';
+import {
+  NEVER,
+  NO_WAIT,
+  offerKey,
+  plan,
+  type Coming,
+  type Demand,
+  type Offer,
+  type Plan,
+  type Turnover,
+} from './planner.js';
 
 /** What the keeper sees of the fleet and its work, and does to it. */
 export interface FleetView {
@@ -31,7 +40,7 @@
   readonly silentAfter: DurationMs;
   /** Since when reports are answered without a break. */
   listeningSince(): SteadyMs;
-  queue(): Job[];
+  queue(): Place[];
   spec(job: JobId): JobSpec | undefined;
   /** Urgent work that may be submitted next. */
   expected(): { spec: JobSpec; count: number }[];
@@ -46,20 +55,14 @@
   readonly log: Logger;
 }
 
-const demandOf = (spec: JobSpec): Omit<Demand, 'count' | 'pressing'> => ({
+const demandOf = (spec: JobSpec): Omit<Demand, 'count' | 'patience' | 'slack'> => ({
   size: sizeOfSpec(spec),
   builds: spec.builds,
   hall: spec.hall,
   spot: spec.loaners,
+  run: ms(spec.expected_s * 1000),
 });
 
-interface Pool {
-  readonly hosts: { total: Size; used: number; urgent: number; up: boolean }[];
-  /** Of all work at hand: processor-seconds by its owners' estimates, and processors. */
-  work: number;
-  cpus: number;
-}
-
 const isUrgent = (u: Urgency): boolean => u === 'prod' || u === 'high';
 
 interface Refusal {
@@ -79,9 +82,11 @@
 const CUT_REPORTS = 7;
 const REFUSED_FIRST = seconds(8);
 const REFUSED_MOST = seconds(60);
-const MOST_NEW = 12;
+const MOST_NEW = 100;
 /** A machine is rented for a wait of at least this many boot times. */
 const WORTH_BOOTING = 0.7;
+/** Of what other work waits, urgent work waits this share. */
+const URGENT_PATIENCE = 0.25;
 /** A job that has waited this long is pressing whatever its deadline. */
 const NEGLECTED = seconds(180);
 /** As long as no machine is there at all, dear ones are only asked for after this. */
@@ -238,59 +243,33 @@
     const demands = this.demands(this.view.queue());
     // Room standing by for urgent work: last, and never at the price of ordinary machines.
     for (const { spec, count } of this.view.expected()) {
-      demands.push({ ...demandOf(spec), count, pressing: false });
+      demands.push({ ...demandOf(spec), count, patience: NO_WAIT, slack: NEVER });
     }
     if (demands.length === 0) return [];
-    const coming: Coming[] = [];
-    for (const m of this.machines.values()) {
-      const f = this.catalog.flavor(m.place.build);
-      if (!f || m.draining || m.deleteSent) continue;
-      const total = sizeOfFlavor(f);
-      if (m.up) {
-        const load = this.view.fleet.load(m);
-        if (!load.unknown) coming.push({ ...m.place, free: less(total, load.used) });
-      } else if (
-        m.bootingSince !== undefined &&
-        since(m.bootingSince, now) < f.ready_s * 1000 * BOOT_LATE
-      ) {
-        coming.push({ ...m.place, free: total });
-      }
-    }
-    return plan(demands, coming, this.catalog.all(), this.refused(now), MOST_NEW);
+    const { coming, turnover } = this.supply(now);
+    return plan(demands, coming, turnover, this.catalog.all(), this.refused(now), MOST_NEW);
   }
 
-  /**
-   * What of the queue is worth new machines. A job that is served by what runs now before a new
-   * machine could be up needs none; one that would be late by waiting may cost more.
-   */
-  private demands(queue: readonly Job[]): Demand[] {
+  /** What of the queue waits, and how long it may before machines are worth their price. */
+  private demands(queue: readonly Place[]): Demand[] {
     const wall = this.deps.clock.wall();
+    const { objectives } = this.deps.settings;
     const out: Demand[] = [];
-    const pool = this.pool();
-    let ahead = 0;
-    for (const job of queue) {
-      const cpus = job.waiting.size * job.spec.vcpus;
-      pool.work += cpus * job.spec.expected_s;
-      pool.cpus += cpus;
-    }
-    for (const job of queue) {
+    for (const { job } of queue) {
       const { spec } = job;
-      const size = sizeOfSpec(spec);
-      const ready = this.leastReady(size);
-      const run = spec.expected_s * 1000;
-      const urgent = isUrgent(spec.urgency);
-      ahead += job.waiting.size * spec.vcpus;
-      const wait = this.expectedWait(pool, size, ahead, urgent, ready, wall - job.submitted);
-      const patience = urgent ? 0.25 : 1;
-      if (wait < ready * WORTH_BOOTING * patience) continue;
-      const due = dueBy(job, this.deps.settings.objectives, wall);
-      const slack = due - wall - run * 1.2;
-      const lost = slack < -run - ready;
+      const demand = demandOf(spec);
+      const ready = this.leastReady(demand.size);
+      const { due, late } = dueBy(job, objectives, wall, demand.run);
+      const slack = due - wall - demand.run * 1.2;
+      // Nothing is there yet: the cheap ones are asked for first, and then it is known what is missing.
+      const early = this.machines.size === 0 && wall - job.submitted < NOTHING_YET;
+      const hopeless = late && slack + demand.run + ready < 0;
       const neglected = wall - job.submitted > NEGLECTED;
       out.push({
-        ...demandOf(spec),
+        ...demand,
         count: job.waiting.size,
-        pressing: neglected || (!lost && wait > slack),
+        patience: ms(ready * WORTH_BOOTING * (isUrgent(spec.urgency) ? URGENT_PATIENCE : 1)),
+        slack: neglected ? NO_WAIT : early || hopeless ? NEVER : ms(Math.max(0, slack)),
       });
     }
     return out;
@@ -299,63 +278,47 @@
   private leastReady(size: Size): number {
     let least = Infinity;
     for (const f of this.catalog.all()) {
-      const total = sizeOfFlavor(f);
-      if (fits(size, total)) least = Math.min(least, f.ready_s * 1000);
+      if (fits(size, sizeOfFlavor(f))) least = Math.min(least, f.ready_s * 1000);
     }
     return Number.isFinite(least) ? least : 0;
   }
 
-  /** What is there and on its way, and how long work stays on it. */
-  private pool(): Pool {
-    const now = this.deps.clock.steady();
-    const pool: Pool = { hosts: [], work: 0, cpus: 0 };
+  /** What room there is or will be soon, and what work gives way in time. */
+  private supply(now: SteadyMs): { coming: Coming[]; turnover: Turnover[] } {
+    const coming: Coming[] = [];
+    const working = new Map<string, { offer: Offer; total: Size; busy: number; work: number }>();
     for (const m of this.machines.values()) {
       const f = this.catalog.flavor(m.place.build);
       if (!f || m.draining || m.deleteSent) continue;
-      const late = f.ready_s * 1000 * BOOT_LATE;
-      if (!m.up && (m.bootingSince === undefined || since(m.bootingSince, now) > late)) continue;
-      let used = 0;
-      let urgent = 0;
+      const total = sizeOfFlavor(f);
+      if (!m.up) {
+        const booting = m.bootingSince !== undefined && since(m.bootingSince, now);
+        if (booting !== false && booting < f.ready_s * 1000 * BOOT_LATE) {
+          coming.push({ ...m.place, free: total });
+        }
+        continue;
+      }
+      const load = this.view.fleet.load(m);
+      if (load.unknown) continue;
+      coming.push({ ...m.place, free: less(total, load.used) });
+      const key = offerKey(m.place);
+      const sum = working.get(key) ?? { offer: m.place, total, busy: 0, work: 0 };
+      working.set(key, sum);
       for (const a of m.assigned.values()) {
         const spec = this.view.spec(a.job);
-        if (!spec) continue;
-        used += spec.vcpus;
-        if (isUrgent(spec.urgency)) urgent += spec.vcpus;
-        pool.work += spec.vcpus * spec.expected_s;
-        pool.cpus += spec.vcpus;
+        // What urgent tasks free is taken by urgent tasks to come.
+        if (!spec || isUrgent(spec.urgency)) continue;
+        sum.busy += spec.vcpus;
+        sum.work += spec.vcpus * spec.expected_s * 1000;
       }
-      const total = sizeOfFlavor(f);
-      pool.hosts.push({ total, used, urgent, up: m.up });
-    }
-    return pool;
-  }
-
-  /**
-   * How long work of a size waits, behind so many processors' worth, for what is there or on its way.
-   * What urgent tasks free is taken by urgent tasks to come, so it counts for those alone.
-   */
-  private expectedWait(
-    pool: Pool,
-    size: Size,
-    ahead: number,
-    urgent: boolean,
-    ready: number,
-    waited: number,
-  ): number {
-    let cpus = 0;
-    let free = 0;
-    let booting = 0;
-    for (const h of pool.hosts) {
-      if (!fits(size, h.total)) continue;
-      cpus += h.total.cpus - (urgent ? 0 : h.urgent);
-      if (h.up) free += h.total.cpus - h.used;
-      else booting += h.total.cpus;
     }
-    // Nothing yet: the cheap machines are asked for first, and only then is it known what is missing.
-    if (cpus <= 0) return waited > NOTHING_YET ? Infinity : ready;
-    const run = pool.cpus > 0 ? (pool.work / pool.cpus) * 1000 : 0;
-    const queued = Math.max(0, ahead - free - booting) / cpus;
-    return queued * run + (ahead > free && booting > 0 ? ready / 2 : 0);
+    const turnover = [...working.values()].map(({ offer, total, busy, work }) => ({
+      ...offer,
+      total,
+      busy,
+      run: ms(busy > 0 ? work / busy : 0),
+    }));
+    return { coming, turnover };
   }
 
   /** Machines to be deleted at once: never booted, failed, vanished, or silent with tasks. */
--- a/src/capacity/planner.ts
+++ b/src/capacity/planner.ts
@@ -1,10 +1,12 @@
 import { fits, sizeOfFlavor, type Size } from '../fleet/size.js';
 import { allows } from '../placer/placer.js';
+import { ms, seconds, type DurationMs } from '../units/index.js';
 import type { Flavor } from '../wire/index.js';
 
 /**
- * What to rent. Pure: waiting tasks are packed into the machines that are on their way, and what
- * remains opens new ones, each of the offer that serves the task at the least cost.
+ * What to rent. Pure: waiting tasks are packed into the room that is there or on its way; of what
+ * remains, a part is served by what runs now before a new machine could be up, and the rest opens
+ * new machines, each of the offer that serves the task at the least cost.
  */
 export interface Offer {
   readonly build: string;
@@ -14,20 +16,38 @@
 
 export const offerKey = (o: Offer): string => `${o.build}|${o.hall}|${o.spot ? 'spot' : 'plain'}`;
 
+/** Waiting tasks of one job, or urgent ones that may be submitted next. */
 export interface Demand {
   readonly size: Size;
   readonly count: number;
   readonly builds: readonly string[] | null;
   readonly hall: string | null;
   readonly spot: boolean;
-  /** It would be late if it waited for what runs to end: ordinary machines may be rented for it. */
-  readonly pressing: boolean;
+  /** How long a task is expected to run. */
+  readonly run: DurationMs;
+  /** A wait up to this long is not worth a machine. */
+  readonly patience: DurationMs;
+  /**
+   * A wait beyond this makes it late: ordinary machines, which cost a multiple, are rented only for
+   * what would wait longer. Infinite: never.
+   */
+  readonly slack: DurationMs;
 }
 
+/** Room on a machine that is up, or all of one that boots. */
 export interface Coming extends Offer {
   readonly free: Size;
 }
 
+/** Machines of one offer that work, and how soon what they do gives way to other work. */
+export interface Turnover extends Offer {
+  readonly total: Size;
+  /** Processors in use by work whose place goes to whatever waits. */
+  readonly busy: number;
+  /** How long the tasks there run in the mean. */
+  readonly run: DurationMs;
+}
+
 export interface Plan extends Offer {
   readonly count: number;
 }
@@ -39,6 +59,11 @@
   ramGb: number;
 }
 
+/** What comes free is in pieces, of which a large task can't use all. */
+const USABLE = 0.8;
+/** How much more a machine costs that boots too slowly for the task at hand. */
+const TOO_SLOW = 4;
+
 const perMachine = (room: Size, size: Size): number =>
   Math.floor(
     Math.min(
@@ -48,9 +73,53 @@
     ) + 1e-6,
   );
 
+/** Takes up to so many tasks into a bin; how many there was room for. */
+function pack(bin: Bin, d: Demand, most: number): number {
+  if (bin.cpus < d.size.cpus - 1e-6) return 0;
+  const n = Math.min(most, perMachine(bin, d.size));
+  bin.cpus -= n * d.size.cpus;
+  bin.gpus -= n * d.size.gpus;
+  bin.ramGb -= n * d.size.ramGb;
+  return n;
+}
+
+/** What waits for machines that work: processors a second that they give way to it, and the queue there. */
+class Queues {
+  private readonly lines: { offer: Turnover; rate: number; queued: number }[];
+
+  constructor(turnover: readonly Turnover[]) {
+    this.lines = turnover
+      .filter((t) => t.busy > 0)
+      .map((t) => ({
+        offer: t,
+        rate: (t.busy * USABLE) / Math.max(1, t.run / seconds(1)),
+        queued: 0,
+      }));
+  }
+
+  /** Queues tasks; how many of them will still wait after each of the spans. */
+  join(d: Demand, tasks: number, spans: readonly DurationMs[]): number[] {
+    const lines = this.lines.filter((l) => allows(d, l.offer) && fits(d.size, l.offer.total));
+    let rate = 0;
+    let queued = 0;
+    for (const l of lines) {
+      rate += l.rate;
+      queued += l.queued;
+    }
+    const cpus = tasks * d.size.cpus;
+    for (const l of lines) l.queued += rate > 0 ? (cpus * l.rate) / rate : 0;
+    return spans.map((span) => {
+      if (span === Infinity) return 0;
+      const served = Math.max(0, rate * (span / seconds(1)) - queued);
+      return Math.ceil(Math.max(0, cpus - served) / d.size.cpus - 1e-6);
+    });
+  }
+}
+
 export function plan(
   demands: readonly Demand[],
   coming: readonly Coming[],
+  turnover: readonly Turnover[],
   flavors: readonly Flavor[],
   refused: ReadonlySet<string>,
   most: number,
@@ -61,29 +130,26 @@
     gpus: c.free.gpus,
     ramGb: c.free.ramGb,
   }));
+  const queues = new Queues(turnover);
   const fresh: Bin[] = [];
   for (const d of demands) {
     let left = d.count;
     for (const bin of bins) {
       if (left === 0) break;
-      if (!allows(d, bin.offer)) continue;
-      const n = Math.min(left, perMachine(bin, d.size));
-      if (n <= 0) continue;
-      bin.cpus -= n * d.size.cpus;
-      bin.gpus -= n * d.size.gpus;
-      bin.ramGb -= n * d.size.ramGb;
-      left -= n;
+      if (allows(d, bin.offer)) left -= pack(bin, d, left);
     }
+    if (left === 0) continue;
+    const [soon = 0, pressing = 0] = queues.join(d, left, [d.patience, d.slack]);
+    left = Math.max(soon, pressing);
+    let dear = pressing;
     while (left > 0 && fresh.length < most) {
-      const pick = cheapest(d, left, flavors, refused);
+      const pick = cheapest(d, left, dear > 0, flavors, refused);
       if (!pick) break;
-      const size = sizeOfFlavor(pick.flavor);
-      const bin: Bin = { offer: pick.offer, cpus: size.cpus, gpus: size.gpus, ramGb: size.ramGb };
-      const n = Math.min(left, perMachine(bin, d.size));
-      bin.cpus -= n * d.size.cpus;
-      bin.gpus -= n * d.size.gpus;
-      bin.ramGb -= n * d.size.ramGb;
+      const { cpus, gpus, ramGb } = sizeOfFlavor(pick.flavor);
+      const bin: Bin = { offer: pick.offer, cpus, gpus, ramGb };
+      const n = pack(bin, d, left);
       left -= n;
+      dear -= n;
       bins.push(bin);
       fresh.push(bin);
     }
@@ -99,6 +165,7 @@
 function cheapest(
   d: Demand,
   left: number,
+  pressing: boolean,
   flavors: readonly Flavor[],
   refused: ReadonlySet<string>,
 ): { offer: Offer; flavor: Flavor } | undefined {
@@ -107,17 +174,17 @@
   for (const flavor of flavors) {
     const size = sizeOfFlavor(flavor);
     if (!fits(d.size, size)) continue;
+    const slow = pressing && flavor.ready_s * seconds(1) > d.slack ? TOO_SLOW : 1;
     for (const hall of flavor.halls) {
       for (const spot of [true, false]) {
         const offer = { build: flavor.name, hall, spot };
         if (!allows(d, offer) || refused.has(offerKey(offer))) continue;
-        // Ordinary machines cost a multiple: work that can wait for a cheap one does.
-        if (!spot && d.spot && !d.pressing) continue;
+        if (!spot && d.spot && !pressing) continue;
         const price = spot ? flavor.spot_price : flavor.rate;
         // What is left over on a machine serves others, but counts for less than what is used.
         const slots = perMachine(size, d.size);
         const used = Math.min(slots, left) + 0.7 * Math.max(0, slots - left);
-        const cost = price / used;
+        const cost = (slow * price) / used;
         if (cost < bestCost - 1e-9) {
           bestCost = cost;
           best = { offer, flavor };
@@ -127,3 +194,6 @@
   }
   return best;
 }
+
+export const NO_WAIT = ms(0);
+export const NEVER = ms(Infinity);
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -69,6 +69,8 @@
   readonly kind: string;
   readonly docket: string | undefined;
   readonly within: DurationMs | undefined;
+  /** Of a deadline: by how many times the stated one. */
+  readonly times: number;
 }
 
 export interface Settings {
@@ -161,6 +163,7 @@
     objectives: f.params.objectives.map((o) => ({
       kind: o.kind,
       docket: o.class ?? undefined,
+      times: o.times ?? 1,
       within: o.within_s === null || o.within_s === undefined ? undefined : seconds(o.within_s),
     })),
     workers: {
--- a/src/leader/dispatch.ts
+++ b/src/leader/dispatch.ts
@@ -2,7 +2,7 @@
 import { less, sizeOfFlavor, sizeOfSpec } from '../fleet/size.js';
 import { openTaskLimit } from '../ledger/codec.js';
 import type { Job } from '../ledger/job.js';
-import { compare, placeInQueue, rankOf } from '../ledger/queue.js';
+import { compare, placeInQueue, rankOf, type Place } from '../ledger/queue.js';
 import {
   allows,
   place as placeTasks,
@@ -52,16 +52,15 @@
   }
 
   /** Jobs with waiting tasks, most urgent first. */
-  queue(): Job[] {
+  queue(): Place[] {
     const now = this.deps.clock.steady();
     const wall = this.deps.clock.wall();
-    return [...this.board.ledger.jobs.values()]
-      .filter((j) => !j.aborted && j.waiting.size > 0 && j.heldUntil <= now)
-      .map((j) =>
-        placeInQueue(j, this.deps.settings.objectives, wall, ms(j.spec.expected_s * 1000)),
-      )
-      .sort(compare)
-      .map((p) => p.job);
+    const queue: Place[] = [];
+    for (const j of this.board.ledger.jobs.values()) {
+      if (j.aborted || j.waiting.size === 0 || j.heldUntil > now) continue;
+      queue.push(placeInQueue(j, this.deps.settings.objectives, wall, now));
+    }
+    return queue.sort(compare);
   }
 
   /** Places soon, together with what else comes up in the meantime. */
@@ -85,10 +84,10 @@
     const now = this.deps.clock.steady();
     const hosts = this.hosts(now);
     if (hosts.length === 0) return;
-    const wants = queue.map((job) => this.want(job));
+    const wants = queue.map((p) => this.want(p));
     const fleet = hosts.reduce((n, h) => n + h.total.cpus, 0);
     const reserve = this.urgent.reserve(fleet, now);
-    for (const job of queue) this.regroup(job);
+    for (const { job } of queue) this.regroup(job);
     const result = placeTasks(wants, hosts, this.teamRoom(), MOST_PER_ROUND, reserve);
     if (result.length < MOST_PER_ROUND) this.makeRoom(queue, result, now);
     const byJob = new Map<JobId, { index: number; machine: MachineId }[]>();
@@ -138,11 +137,16 @@
    * Urgent tasks that found no room take that of less urgent ones which have only just begun, so
    * that little work is lost. What is stopped waits again, behind them in the queue.
    */
-  private makeRoom(queue: readonly Job[], placed: readonly { job: JobId }[], now: SteadyMs): void {
+  private makeRoom(
+    queue: readonly Place[],
+    placed: readonly { job: JobId }[],
+    now: SteadyMs,
+  ): void {
     let budget = MOST_EVICTED;
     const rooms = this.teamRoom();
-    for (const job of queue) {
-      if (budget <= 0 || !UrgentWork.is(job.spec)) return;
+    for (const { job } of queue) {
+      if (budget <= 0) return;
+      if (!UrgentWork.is(job.spec)) continue;
       const left = job.waiting.size - placed.filter((a) => a.job === job.id).length;
       let cpus = left * job.spec.vcpus - this.board.comingFree;
       if (left <= 0 || cpus <= 0) continue;
@@ -223,7 +227,7 @@
     return this.urgent.expected(cpus);
   }
 
-  private want(job: Job): Want {
+  private want({ job, rank, tasks }: Place): Want {
     const { spec } = job;
     const zoned = spec.together || spec.apart;
     const inZone = new Map<string, number>();
@@ -237,6 +241,8 @@
     // Tasks whose machine's zone is not known yet may be in any.
     const perZone = spec.apart ? Math.ceil(spec.entries / 2) - unknown : Infinity;
     const whole = spec.shape === 'ensemble';
+    const regrouping = whole && job.placed.size > 0;
+    const count = whole ? job.waiting.size : tasks;
     const room = openTaskLimit(spec, this.deps.settings.state.valueBytes) - job.open;
     return {
       id: job.id,
@@ -252,26 +258,35 @@
       zone: job.placed.size > 0 ? (job.zone ?? '') : undefined,
       perZone,
       inZone,
-      indexes: whole && job.placed.size > 0 ? [] : this.placeable(job, room, zoned),
       // A gang that lost a part is stopped and starts over as a whole.
-      count: whole && job.placed.size > 0 ? 0 : job.waiting.size,
+      indexes: regrouping ? [] : this.placeable(job, room, zoned, count),
+      count: regrouping ? 0 : count,
       whole,
       avoid: job.faultyOn,
-      urgent: UrgentWork.is(spec),
+      urgent: UrgentWork.is(spec) || rank < 0,
+      rank,
     };
   }
 
   /** Waiting tasks that may start now: none that may still be on some machine by a stray attempt. */
-  private *placeable(job: Job, room: number, zoned: boolean): IterableIterator<number> {
+  private *placeable(
+    job: Job,
+    room: number,
+    zoned: boolean,
+    most: number,
+  ): IterableIterator<number> {
     const { fleet } = this.board;
     const tail = job.waiting.last();
     let fresh = Math.max(0, room);
     // A stray attempt counts for the zones too; it is gone soon.
     if (zoned && [...fleet.strayKeys.keys()].some((k) => parseTaskKey(k)?.job === job.id)) return;
+    let left = most;
     for (const index of job.waiting.indexes()) {
+      if (left <= 0) return;
       if (fleet.isStray(taskKey(job.id, index))) continue;
       // Tasks of the untouched tail make the record grow; those below are counted already.
       if (tail && tail[1] === job.spec.entries && index >= tail[0] && fresh-- <= 0) return;
+      left--;
       yield index;
     }
   }
--- a/src/ledger/codec.ts
+++ b/src/ledger/codec.ts
@@ -124,6 +124,7 @@
       });
     }
   }
+  if (job.placed.size > 0) job.lastPlaced = now;
   // A range that went missing would read as finished work.
   if (job.doneCount !== r.d) throw new RecordError(`record of ${id}: d says ${r.d} done`);
   job.version = 1;
--- a/src/ledger/job.ts
+++ b/src/ledger/job.ts
@@ -74,6 +74,9 @@
   /** Told of every change that is to be written. */
   onTouch: (() => void) | undefined;
 
+  /** When a task of it was last placed, by this leader or as it found the record. */
+  lastPlaced: SteadyMs | undefined;
+
   /** Trouble seen: machines on which its tasks failed, and until when it is held back. */
   readonly faultyOn = new Set<MachineId>();
   heldUntil = 0 as SteadyMs;
@@ -114,6 +117,7 @@
     const attempt = this.nextAttempt;
     this.nextAttempt = Attempt(attempt + 1);
     this.touch(Press.place);
+    this.lastPlaced = now;
     for (const { index, machine } of tasks) {
       if (!this.waiting.remove(index)) throw new Error(`${this.id}/${index} is not waiting`);
       this.placed.set(index, {
--- a/src/ledger/queue.ts
+++ b/src/ledger/queue.ts
@@ -1,31 +1,54 @@
 import type { Job } from './job.js';
 import type { Objective } from '../config/settings.js';
-import { seconds, type DurationMs, type WallMs } from '../units/index.js';
+import { ms, seconds, since, type DurationMs, type SteadyMs, type WallMs } from '../units/index.js';
 import type { Urgency } from '../wire/index.js';
 
-/** The order in which jobs are served: urgency, then those that can still be in time, earliest due first. */
+/**
+ * The order in which jobs are served: urgency, then those that can still be in time, earliest due
+ * first. A job that has been passed over for long comes before all of them, with a few tasks.
+ */
 const RANK: Record<Urgency, number> = { prod: 0, high: 1, normal: 2, low: 3 };
 const UNHURRIED = seconds(600);
+/** The longest that a job with waiting tasks is passed over: its users see it begin within minutes. */
+const PASSED_OVER = seconds(120);
+/** What of a job that was passed over comes first then. */
+const FIRST_SHARE = 0.1;
 
 export interface Place {
   readonly rank: number;
   readonly late: boolean;
   readonly due: number;
   readonly job: Job;
+  /** How many of its waiting tasks are to be placed at this rank. */
+  readonly tasks: number;
 }
 
-/** The time by which a job should be done, by its own deadline or by what is expected of its class. */
-export function dueBy(job: Job, objectives: readonly Objective[], now: WallMs): number {
-  if (job.spec.due_s !== null) return job.submitted + job.spec.due_s * 1000;
-  let due: number | undefined;
-  let last: number | undefined;
+/** When a job should be done, and by when it is still of use: all times that users set, earliest first. */
+function dueTimes(job: Job, objectives: readonly Objective[]): number[] {
+  const { due_s: due, docket } = job.spec;
+  const out: number[] = due === null ? [] : [job.submitted + due * 1000];
   for (const o of objectives) {
-    if (o.kind !== 'finished' || o.docket !== job.spec.docket || o.within === undefined) continue;
-    const at = job.submitted + o.within;
-    if (last === undefined || at > last) last = at;
-    if (at > now && (due === undefined || at < due)) due = at;
+    if (o.docket !== docket) continue;
+    if (o.kind === 'finished' && o.within !== undefined && due === null) {
+      out.push(job.submitted + o.within);
+    } else if (o.kind === 'deadline' && due !== null && o.times > 1) {
+      out.push(job.submitted + due * 1000 * o.times);
+    }
   }
-  return due ?? last ?? job.submitted + UNHURRIED;
+  if (out.length === 0) out.push(job.submitted + UNHURRIED);
+  return out.sort((a, b) => a - b);
+}
+
+/** The next time that matters for a job: the first that it can still meet, else the last of all. */
+export function dueBy(
+  job: Job,
+  objectives: readonly Objective[],
+  now: WallMs,
+  run: DurationMs,
+): { due: number; late: boolean } {
+  const times = dueTimes(job, objectives);
+  const next = times.find((t) => now + run <= t);
+  return next === undefined ? { due: times.at(-1) ?? now, late: true } : { due: next, late: false };
 }
 
 export function compare(a: Place, b: Place): number {
@@ -35,14 +58,23 @@
   return a.job.id < b.job.id ? -1 : 1;
 }
 
+/** For how long a job with waiting tasks has seen none of them placed. */
+function passedOver(job: Job, wall: WallMs, now: SteadyMs): DurationMs {
+  return job.lastPlaced === undefined ? ms(wall - job.submitted) : since(job.lastPlaced, now);
+}
+
 export function placeInQueue(
   job: Job,
   objectives: readonly Objective[],
-  now: WallMs,
-  run: DurationMs,
+  wall: WallMs,
+  now: SteadyMs,
 ): Place {
-  const due = dueBy(job, objectives, now);
-  return { rank: RANK[job.spec.urgency], late: now + run > due, due, job };
+  if (passedOver(job, wall, now) > PASSED_OVER) {
+    const tasks = Math.min(job.waiting.size, Math.ceil(job.spec.entries * FIRST_SHARE));
+    return { rank: -1, late: false, due: job.submitted, job, tasks };
+  }
+  const { due, late } = dueBy(job, objectives, wall, ms(job.spec.expected_s * 1000));
+  return { rank: RANK[job.spec.urgency], late, due, job, tasks: job.waiting.size };
 }
 
 export const rankOf = (u: Urgency): number => RANK[u];
--- a/src/placer/placer.ts
+++ b/src/placer/placer.ts
@@ -47,6 +47,8 @@
   readonly avoid: ReadonlySet<MachineId>;
   /** Too urgent to be held to the reserve. */
   readonly urgent: boolean;
+  /** Its place among all: wants come in this order, and equal ones are alike in urgency. */
+  readonly rank: number;
 }
 
 /**
@@ -68,6 +70,7 @@
 
 interface Slot {
   readonly host: Host;
+  readonly kind: Kind;
   cpus: number;
   gpus: number;
   ramGb: number;
@@ -75,10 +78,23 @@
   claimed: boolean;
 }
 
+/** Machines that are alike to a job that asks whether it may run there. */
+interface Kind {
+  readonly build: string;
+  readonly hall: string;
+  readonly spot: boolean;
+  readonly total: Size;
+  readonly slots: Slot[];
+  /** Something that fits nowhere else wants it. */
+  contested: boolean;
+}
+
 /** Prices of one kind move by up to a third each way; only a larger difference is one of kind. */
 const DEARER = 1.8;
 /** Claimed machines stand partly empty: of those that would suit, no more than this share. */
 const MOST_CLAIMED = 0.5;
+/** A job that may use less than this share of the fleet's processors is bound to what it may use. */
+const BOUND = 0.75;
 
 export function allows(
   want: Pick<Want, 'builds' | 'hall' | 'spot'>,
@@ -99,6 +115,82 @@
   return 1 + Math.ceil(s / 2);
 }
 
+/** The machines as the placements of this round leave them. */
+class Room {
+  readonly kinds: Kind[];
+  private readonly cpus: number;
+  private readonly smallest: number;
+  private readonly headroom = new Map<string, number>();
+
+  constructor(
+    hosts: readonly Host[],
+    private readonly reserve: Reserve,
+  ) {
+    const kinds = new Map<string, Kind>();
+    let cpus = 0;
+    // The large machines keep no room: what only they can run would pay for it.
+    let smallest = Infinity;
+    for (const host of hosts) {
+      cpus += host.total.cpus;
+      smallest = Math.min(smallest, host.total.cpus);
+      const key = `${host.build}|${host.hall}|${host.spot}|${host.total.cpus}`;
+      let kind = kinds.get(key);
+      if (!kind) {
+        const { build, hall, spot, total } = host;
+        kind = { build, hall, spot, total, slots: [], contested: false };
+        kinds.set(key, kind);
+      }
+      const { cpus: free, gpus, ramGb } = host.free;
+      const coming = new Set(host.fetching);
+      kind.slots.push({ host, kind, cpus: free, gpus, ramGb, coming, claimed: false });
+    }
+    this.kinds = [...kinds.values()];
+    this.cpus = cpus;
+    this.smallest = smallest;
+    for (const image of reserve.keys()) {
+      let free = 0;
+      for (const k of this.kinds) for (const s of k.slots) if (this.keeps(s, image)) free += s.cpus;
+      this.headroom.set(image, free);
+    }
+  }
+
+  /** The kinds that a job may use and that a task of it fits. */
+  suited(want: Want): Kind[] {
+    return this.kinds.filter((k) => allows(want, k) && fits(want.size, k.total));
+  }
+
+  /** Whether so much of the fleet is closed to a job that it can't go elsewhere. */
+  isBound(suited: readonly Kind[]): boolean {
+    let cpus = 0;
+    for (const k of suited) cpus += k.slots.length * k.total.cpus;
+    return cpus < this.cpus * BOUND;
+  }
+
+  private keeps(s: Slot, image: string): boolean {
+    return s.host.total.cpus === this.smallest && s.host.holds(image);
+  }
+
+  /** Whether a task may take room there without what is kept for urgent ones. */
+  spare(slot: Slot, cpus: number): boolean {
+    for (const [image, kept] of this.reserve) {
+      if (this.keeps(slot, image) && (this.headroom.get(image) ?? 0) - cpus < kept) return false;
+    }
+    return true;
+  }
+
+  /** Takes room for so many tasks of a size; fewer than none gives it back. */
+  take(slot: Slot, want: Want, tasks: number): void {
+    const { cpus, gpus, ramGb } = want.size;
+    slot.cpus -= cpus * tasks;
+    slot.gpus -= gpus * tasks;
+    slot.ramGb -= ramGb * tasks;
+    for (const image of this.reserve.keys()) {
+      if (!this.keeps(slot, image)) continue;
+      this.headroom.set(image, (this.headroom.get(image) ?? 0) - cpus * tasks);
+    }
+  }
+}
+
 export function place(
   wants: readonly Want[],
   hosts: readonly Host[],
@@ -106,110 +198,115 @@
   most: number,
   reserve: Reserve = new Map(),
 ): Assignment[] {
-  const slots: Slot[] = hosts.map((host) => ({
-    host,
-    cpus: host.free.cpus,
-    gpus: host.free.gpus,
-    ramGb: host.free.ramGb,
-    coming: new Set(host.fetching),
-    claimed: false,
-  }));
-  // The large machines are left out: what only they can run would pay for it.
-  const smallest = Math.min(...hosts.map((h) => h.total.cpus));
-  const keeps = (s: Slot, image: string): boolean =>
-    s.host.total.cpus === smallest && s.host.holds(image);
-  const headroom = new Map<string, number>();
-  for (const image of reserve.keys()) {
-    let free = 0;
-    for (const s of slots) if (keeps(s, image)) free += s.cpus;
-    headroom.set(image, free);
+  const room = new Room(hosts, reserve);
+  const queue = wants.map((want, order) => {
+    const suited = room.suited(want);
+    return { want, order, suited, bound: room.isBound(suited) };
+  });
+  for (const q of queue) if (q.bound) for (const k of q.suited) k.contested = true;
+  // Among the equally urgent, what can't go elsewhere chooses first.
+  queue.sort(
+    (a, b) => a.want.rank - b.want.rank || Number(b.bound) - Number(a.bound) || a.order - b.order,
+  );
+  const out: Assignment[] = [];
+  for (const { want, suited, bound } of queue) {
+    if (out.length >= most) break;
+    const placed = fill(want, bound, suited, room, teams.get(want.team), most - out.length);
+    for (const a of placed) out.push(a);
+    const missing = want.count - placed.length;
+    if (missing > 0) claim(want, suited, missing);
   }
-  const spare = (slot: Slot, cpus: number): boolean => {
-    for (const [image, kept] of reserve) {
-      if (keeps(slot, image) && (headroom.get(image) ?? 0) - cpus < kept) return false;
+  return out;
+}
+
+/** Places what it can of one job, or, of a gang, all or nothing. */
+function fill(
+  want: Want,
+  bound: boolean,
+  suited: readonly Kind[],
+  room: Room,
+  team: TeamRoom | undefined,
+  most: number,
+): Assignment[] {
+  const candidates: { slot: Slot; score: number }[] = [];
+  for (const kind of suited) {
+    // What others can't do without is taken last by those who can.
+    const tier = kind.contested && !bound && !want.urgent ? 1000 : 0;
+    for (const slot of kind.slots) {
+      if (slot.claimed || !fits(want.size, slot) || want.avoid.has(slot.host.id)) continue;
+      candidates.push({ slot, score: tier + delay(want, slot) });
     }
-    return true;
-  };
-  const out: Assignment[] = [];
-  for (const want of wants) {
+  }
+  if (candidates.length === 0) return [];
+  candidates.sort((a, b) => a.score - b.score || better(a.slot, b.slot));
+  const out: { index: number; slot: Slot }[] = [];
+  const inZone = new Map(want.inZone);
+  let zone = want.zone;
+  let next = 0;
+  for (const index of want.indexes) {
     if (out.length >= most) break;
-    const suited = slots.filter(
-      (s) => allows(want, s.host) && fits(want.size, s.host.total) && !want.avoid.has(s.host.id),
-    );
-    const allowed = suited.filter((s) => fits(want.size, s) && !s.claimed);
-    let missing = want.count;
-    const undo: (() => void)[] = [];
-    const first = out.length;
-    const room = teams.get(want.team);
-    const inZone = new Map(want.inZone);
-    let zone = want.zone;
-    for (const index of want.indexes) {
-      if (out.length >= most) break;
-      // A task that would take its team over the limit must not start, whatever is free.
-      if (room && (want.size.cpus > room.cpus + EPS || want.size.gpus > room.gpus + EPS)) break;
-      let best: Slot | undefined;
-      let bestDelay = 0;
-      for (const slot of allowed) {
-        if (!fits(want.size, slot)) continue;
-        if (!want.urgent && !spare(slot, want.size.cpus)) continue;
-        if (want.together && zone !== undefined && slot.host.hall !== zone) continue;
-        if ((inZone.get(slot.host.hall) ?? 0) >= want.perZone) continue;
-        const d = delay(want, slot);
-        if (!best || d < bestDelay || (d === bestDelay && better(slot, best))) {
-          best = slot;
-          bestDelay = d;
-        }
-      }
-      if (!best) break;
-      const taken = best;
-      undo.push(() => {
-        taken.cpus += want.size.cpus;
-        taken.gpus += want.size.gpus;
-        taken.ramGb += want.size.ramGb;
-        if (!room) return;
-        room.cpus += want.size.cpus;
-        room.gpus += want.size.gpus;
-      });
-      for (const image of reserve.keys()) {
-        if (keeps(best, image)) headroom.set(image, (headroom.get(image) ?? 0) - want.size.cpus);
-      }
-      best.cpus -= want.size.cpus;
-      best.gpus -= want.size.gpus;
-      best.ramGb -= want.size.ramGb;
-      if (!best.host.holds(want.image)) best.coming.add(want.image);
-      if (room) {
-        room.cpus -= want.size.cpus;
-        room.gpus -= want.size.gpus;
-      }
-      if (want.together) zone = best.host.hall;
-      inZone.set(best.host.hall, (inZone.get(best.host.hall) ?? 0) + 1);
-      out.push({ job: want.id, index, machine: best.host.id });
-      missing--;
+    // A task that would take its team over the limit must not start, whatever is free.
+    if (team && (want.size.cpus > team.cpus + EPS || want.size.gpus > team.gpus + EPS)) break;
+    // A machine once taken is the best until it is full, so the search only ever goes on.
+    let slot: Slot | undefined;
+    for (; next < candidates.length && !slot; next++) {
+      const s = candidates[next]?.slot;
+      if (!s || !fits(want.size, s)) continue;
+      if (!want.urgent && !room.spare(s, want.size.cpus)) continue;
+      if (want.together && zone !== undefined && s.host.hall !== zone) continue;
+      if ((inZone.get(s.host.hall) ?? 0) >= want.perZone) continue;
+      slot = s;
     }
-    if (want.whole && missing > 0) {
-      // A part of a gang would only hold room that others could use.
-      for (const back of undo) back();
-      out.length = first;
-      missing = want.count;
+    if (!slot) break;
+    next--;
+    room.take(slot, want, 1);
+    if (!slot.host.holds(want.image)) slot.coming.add(want.image);
+    if (team) {
+      team.cpus -= want.size.cpus;
+      team.gpus -= want.size.gpus;
     }
-    claim(suited, want, missing);
+    if (want.together) zone = slot.host.hall;
+    inZone.set(slot.host.hall, (inZone.get(slot.host.hall) ?? 0) + 1);
+    out.push({ index, slot });
   }
-  return out;
+  if (want.whole && out.length < want.count) {
+    // A part of a gang would only hold room that others could use.
+    for (const { slot } of out) {
+      room.take(slot, want, -1);
+      if (!slot.host.fetching.has(want.image)) slot.coming.delete(want.image);
+      if (!team) continue;
+      team.cpus += want.size.cpus;
+      team.gpus += want.size.gpus;
+    }
+    return [];
+  }
+  return out.map(({ index, slot }) => ({ job: want.id, index, machine: slot.host.id }));
 }
 
 /**
- * A large task that found no room keeps one machine, the freest that could ever hold it, from those
- * that come after it in the queue: small tasks would otherwise fill each gap before it is wide enough.
+ * Large tasks that found no room keep machines, the freest that could ever hold them, from those that
+ * come after them: small tasks would otherwise fill each gap before it is wide enough.
  */
-function claim(suited: readonly Slot[], want: Want, missing: number): void {
-  const open = suited
-    .filter((s) => !s.claimed && !fits(want.size, s))
-    .sort((a, b) => b.cpus - a.cpus || (a.host.id < b.host.id ? -1 : 1));
-  const most = Math.max(1, Math.floor(suited.length * MOST_CLAIMED));
-  const held = suited.filter((s) => s.claimed).length;
-  for (const s of open.slice(0, Math.max(0, Math.min(missing, most - held)))) {
-    if (want.size.cpus * 2 < s.host.total.cpus - EPS) continue;
+function claim(want: Want, suited: readonly Kind[], missing: number): void {
+  let of = 0;
+  let held = 0;
+  const open: Slot[] = [];
+  for (const kind of suited) {
+    of += kind.slots.length;
+    const large = want.size.cpus * 2 >= kind.total.cpus - EPS;
+    for (const s of kind.slots) {
+      if (s.claimed) held++;
+      else if (large && !fits(want.size, s)) open.push(s);
+    }
+  }
+  open.sort((a, b) => b.cpus - a.cpus || (a.host.id < b.host.id ? -1 : 1));
+  const most = Math.max(1, Math.floor(of * MOST_CLAIMED));
+  let left = missing;
+  for (const s of open) {
+    if (left <= 0 || held >= most) break;
     s.claimed = true;
+    held++;
+    left -= Math.max(1, Math.floor((s.host.total.cpus + EPS) / want.size.cpus));
   }
 }
 
@@ -217,10 +314,10 @@
  * Among equals: the cheaper kind, so that dear machines empty and can be given back; the smaller
  * type, so that the large ones stay whole for large tasks; then the fullest, so that others empty.
  */
-function better(a: Slot, b: Slot): boolean {
+function better(a: Slot, b: Slot): number {
   const dearer = a.host.rate / b.host.rate;
-  if (dearer > DEARER || dearer < 1 / DEARER) return dearer < 1;
-  if (a.host.total.cpus !== b.host.total.cpus) return a.host.total.cpus < b.host.total.cpus;
-  if (a.cpus !== b.cpus) return a.cpus < b.cpus;
-  return a.host.id < b.host.id;
+  if (dearer > DEARER || dearer < 1 / DEARER) return dearer - 1;
+  if (a.host.total.cpus !== b.host.total.cpus) return a.host.total.cpus - b.host.total.cpus;
+  if (a.cpus !== b.cpus) return a.cpus - b.cpus;
+  return a.host.id < b.host.id ? -1 : 1;
 }
--- a/test/unit/placer.test.ts
+++ b/test/unit/placer.test.ts
@@ -38,6 +38,7 @@
   indexes: Array.from({ length: count }, (_, i) => i),
   avoid: new Set(),
   urgent: false,
+  rank: 2,
   whole: false,
   count,
   ...change,
