Sockets by lane with a budget, turns at the store in order, deaf and reborn machines, hints in parts

Cause: the agent for workers kept a socket for each machine ever called, with no total; store calls waited for their turn without order or end; a machine whose reports arrive while answers do not kept its tasks for ever; hints above a frame were dropped whole.

--- a/src/api/service.ts
+++ b/src/api/service.ts
@@ -194,7 +194,7 @@
       if (answer.kind === 'busy') {
         return { status: 429, retryAfter: Math.max(1, Math.ceil(answer.after / 1000)) };
       }
-      return this.answer(parsed.value.name_id, answer, later503);
+      return this.answer(parsed.value.name_id, answer, later503, term);
     }
     if (relay && !term) {
       const told = await this.relay(
@@ -220,7 +220,7 @@
   }
 
   private async readKnownOr503(term: Term, id: string): Promise<Reply> {
-    return this.answer(id, await term.find(JobId(id)), later503);
+    return this.answer(id, await term.find(JobId(id)), later503, term);
   }
 
   /** Tells the leader of a job that we took in, as a courtesy: it also watches the notices. */
@@ -242,7 +242,7 @@
   private async readNow(id: string, relay: boolean): Promise<Reply> {
     if (!JOB_ID.test(id)) return notFound;
     const term = this.ruling();
-    if (term?.isReady) return this.answer(id, await term.find(JobId(id)), notFound);
+    if (term?.isReady) return this.answer(id, await term.find(JobId(id)), notFound, term);
     if (relay && !term) {
       const told = await this.relay(
         { kind: 'user', method: 'GET', path: `/v1/jobs/${id}`, body: Buffer.alloc(0) },
@@ -260,7 +260,7 @@
   private async abortNow(id: string, relay: boolean): Promise<Reply> {
     if (!JOB_ID.test(id)) return notFound;
     const term = this.ruling();
-    if (term?.isReady) return this.answer(id, await term.abort(JobId(id)), notFound);
+    if (term?.isReady) return this.answer(id, await term.abort(JobId(id)), notFound, term);
     if (relay && !term) {
       const told = await this.relay(
         { kind: 'user', method: 'POST', path: `/v1/jobs/${id}/abort`, body: Buffer.alloc(0) },
@@ -295,7 +295,9 @@
     }
   }
 
-  private answer(id: string, answer: Answer, absent: Reply): Reply {
+  private answer(id: string, answer: Answer, absent: Reply, term: Term): Reply {
+    // While we waited, or stood still, another may have come to lead and told users more than we know.
+    if (answer.kind !== 'final' && this.ruling() !== term) return later503;
     switch (answer.kind) {
       case 'job':
         // Not committed yet: nobody may be told of it.
--- a/src/capacity/keeper.ts
+++ b/src/capacity/keeper.ts
@@ -80,6 +80,8 @@
 const VANISHED_REPORTS = 1.5;
 const SILENT_REPORTS = 2.75;
 const CUT_REPORTS = 7;
+/** A machine that hears nothing is given back after so many worker leases. */
+const DEAF_LEASES = 1.2;
 const REFUSED_FIRST = seconds(8);
 const REFUSED_MOST = seconds(60);
 const MOST_NEW = 100;
@@ -324,10 +326,11 @@
   /** Machines to be deleted at once: never booted, failed, vanished, or silent with tasks. */
   private lost(now: SteadyMs): Machine[] {
     const out: Machine[] = [];
-    const report = this.deps.settings.workers.report;
+    const { report, lease } = this.deps.settings.workers;
     const heard = new Map<string, number>();
     const total = new Map<string, number>();
     const silent: { m: Machine; quiet: number }[] = [];
+    const deaf: Machine[] = [];
     for (const m of this.machines.values()) {
       if (m.deleteSent) {
         out.push(m);
@@ -340,6 +343,7 @@
       }
       const last = m.lastHeard ?? m.runsSince;
       if (last === undefined) continue;
+      if (m.deafSince !== undefined && since(m.deafSince, now) > lease * DEAF_LEASES) deaf.push(m);
       // Silence counts only while we listened: not before we led, nor while we answered 503.
       const quiet = since(SteadyMs(Math.max(last, this.view.listeningSince())), now);
       const zone = m.place.hall;
@@ -355,6 +359,9 @@
       const alone = 2 * (heard.get(zone) ?? 0) > (total.get(zone) ?? 0);
       if (alone || !m.up || quiet > report * CUT_REPORTS) out.push(m);
     }
+    // What a deaf machine had is over once its lease ran out. If most are deaf, it may be our own fault.
+    if (2 * deaf.length < this.machines.size)
+      for (const m of deaf) if (!out.includes(m)) out.push(m);
     return out.slice(0, MAX_DELETE);
   }
 
--- a/src/cloud/client.ts
+++ b/src/cloud/client.ts
@@ -33,9 +33,14 @@
     return this.bucket.wait(1) <= 0;
   }
 
-  private async send(request: Omit<Request, 'endpoint' | 'timeout'>): Promise<Outcome> {
+  private async send(request: Omit<Request, 'endpoint' | 'timeout' | 'lane'>): Promise<Outcome> {
     this.bucket.spend(1);
-    const o = await this.http.send({ ...request, endpoint: this.endpoint, timeout: TIMEOUT });
+    const o = await this.http.send({
+      ...request,
+      lane: 'cloud',
+      endpoint: this.endpoint,
+      timeout: TIMEOUT,
+    });
     if (o.kind === 'answer' && o.status === 429) this.bucket.drain();
     return o;
   }
--- a/src/fleet/machine.ts
+++ b/src/fleet/machine.ts
@@ -16,6 +16,8 @@
 import { ImageCache } from './images.js';
 import type { Size } from './size.js';
 
+/** After so many answers in a row that it did not heed, a machine counts as deaf. */
+const UNHEEDED = 2;
 /** Beyond the drift of clocks: how much later than computed we call a worker's lease expired. */
 const LEASE_MARGIN = ms(500);
 
@@ -98,6 +100,14 @@
   faults = 0;
   directUntil = 0 as SteadyMs;
   directBusy = false;
+  /** Reports in a row that show nothing of what the answers to earlier ones told it. */
+  private unheeded = 0;
+  /** Since when it is taken to hear nothing: its reports arrive, but not what it is told. */
+  deafSince: SteadyMs | undefined;
+  /** When it last said what was older than what we knew. */
+  repeatedAt: SteadyMs | undefined;
+  /** When it was last asked straight whether it hears us. */
+  askedAt: SteadyMs | undefined;
   private readonly tasks = new Map<TaskKey, Assigned>();
   private loaded: Load | undefined;
   /** Attempts whose start was sent directly and not answered: it may still arrive. */
@@ -146,14 +156,15 @@
   }
 
   isNewer(r: Report): boolean {
-    if (r.shift < this.leastShift) return false;
-    const last = this.report;
-    return !last || r.shift > last.shift || (r.shift === last.shift && r.tally > last.tally);
+    return r.shift >= this.leastShift && (!this.report || isAfter(r, this.report));
   }
 
   /** Takes a report in; false if it is older than what we know. */
   take(r: Report, now: SteadyMs): boolean {
-    if (!this.isNewer(r)) return false;
+    if (!this.isNewer(r)) {
+      this.repeatedAt = now;
+      return false;
+    }
     // A new session has dropped the tasks of the old one and refuses its commands.
     if (this.report && r.shift > this.report.shift) this.fenced();
     this.report = r;
@@ -161,13 +172,36 @@
     this.up = true;
     this.lastHeard = now;
     this.bootingSince = undefined;
-    if (r.recall !== undefined) {
+    // By the newest word alone: a late copy may have shown a notice that is not this machine's any more.
+    if (r.recall === undefined) this.recallAt = undefined;
+    else {
       const at = later(now, r.recall);
       if (this.recallAt === undefined || at < this.recallAt) this.recallAt = at;
     }
     return true;
   }
 
+  /**
+   * The machine was back so soon that nobody missed it, and counts its sessions or messages from the
+   * start again: all that it says would count as old. `r` answers a request of ours, so it is new.
+   */
+  reborn(r: Report, now: SteadyMs): void {
+    this.report = undefined;
+    this.leastShift = r.shift;
+    this.take(r, now);
+  }
+
+  /** What was told in an answer came to nothing. One answer may get lost; several in a row do not. */
+  ignored(now: SteadyMs): void {
+    this.unheeded++;
+    if (this.unheeded >= UNHEEDED) this.deafSince ??= now;
+  }
+
+  heeded(): void {
+    this.unheeded = 0;
+    this.deafSince = undefined;
+  }
+
   /** A 200 was given to a report whose lease has certainly run out by then. */
   answered(expires: SteadyMs): void {
     if (expires > this.expires) this.expires = expires;
@@ -188,11 +222,20 @@
     this.direct.clear();
   }
 
+  /** Takes no new tasks, and those that are not there yet go elsewhere. */
   get draining(): boolean {
-    return this.returning || this.recallAt !== undefined;
+    return this.returning || this.recallAt !== undefined || this.deafSince !== undefined;
   }
 }
 
+/** Which of two messages of a worker is the newer one. */
+export function isAfter(
+  a: { readonly shift: number; readonly tally: number },
+  b: { readonly shift: number; readonly tally: number },
+): boolean {
+  return a.shift > b.shift || (a.shift === b.shift && a.tally > b.tally);
+}
+
 /** What may be on a machine: all that records place there, and all that it reports beside. */
 export function loadOf(m: Machine, sizeOf: (job: JobId) => Size | undefined): Load {
   let cpus = 0;
--- a/src/leader/deps.ts
+++ b/src/leader/deps.ts
@@ -6,11 +6,9 @@
 import type { HttpClient } from '../net/http.js';
 import type { StoreClient } from '../store/client.js';
 import type { StoreFront } from '../ledger/front.js';
+import type { HintBook, Hints } from './hints.js';
 import type { Clock, Epoch, Random } from '../units/index.js';
 
-/** By machine: its images and their sizes, least lately used first. Worth time, never correctness. */
-export type Hints = Record<string, [image: string, gb: number][]>;
-
 export interface TermDeps {
   readonly settings: Settings;
   readonly operator: OperatorSettings;
@@ -26,6 +24,6 @@
   readonly authority: () => Epoch | undefined;
   readonly deposed: (epoch: Epoch) => void;
   /** The images on machines as the leader before told them; and how to tell the other nodes. */
-  readonly hints: Hints;
+  readonly hints: HintBook;
   readonly tellHints: (hints: Hints) => void;
 }
--- a/src/leader/dispatch.ts
+++ b/src/leader/dispatch.ts
@@ -192,6 +192,8 @@
     for (const m of this.machines.values()) {
       if (!m.up || m.draining || m.deleteSent || m.heldUntil > now || !m.addr || !m.report)
         continue;
+      // Told of by what may be late copies alone, and not answering when it was told something.
+      if (m.directUntil > now && this.orders.isUnsure(m)) continue;
       if (m.lastHeard === undefined || since(m.lastHeard, now) > silent) continue;
       const flavor = this.deps.catalog.flavor(m.place.build);
       if (!flavor) continue;
--- a/src/leader/election.ts
+++ b/src/leader/election.ts
@@ -152,7 +152,7 @@
   }
 
   private async seek(): Promise<void> {
-    const read = await this.store.get(LEADER_KEY, CALL_TIMEOUT, true);
+    const read = await this.store.get(LEADER_KEY, CALL_TIMEOUT, { urgent: true });
     if (read.kind === 'failed') {
       await sleep(this.clock, ms(RETRY * (0.5 + this.random())));
       return;
@@ -198,7 +198,7 @@
    */
   async probe(): Promise<void> {
     if (this.reign || since(this.store.servedAt, this.clock.steady()) < QUIET) return;
-    const read = await this.store.get(LEADER_KEY, PROBE_TIMEOUT, true);
+    const read = await this.store.get(LEADER_KEY, PROBE_TIMEOUT, { urgent: true });
     const changed =
       read.kind === 'absent' || (read.kind === 'found' && read.stamp !== this.holderEpoch);
     if (changed) this.nudge?.();
@@ -215,7 +215,7 @@
       [{ key: LEADER_KEY, stamp: over }],
       [{ put: LEADER_KEY, data: { node: this.node, run: this.run }, tenure: lease }],
       CALL_TIMEOUT,
-      true,
+      { urgent: true },
     );
     if (result.kind === 'committed') {
       this.begin(Epoch(result.revision), lease, this.horizon(sent));
--- a/src/leader/orders.ts
+++ b/src/leader/orders.ts
@@ -1,4 +1,4 @@
-import { attemptKey, toReport, type Machine, type Report } from '../fleet/machine.js';
+import { attemptKey, isAfter, toReport, type Machine, type Report } from '../fleet/machine.js';
 import type { Final, Job } from '../ledger/job.js';
 import {
   later,
@@ -6,15 +6,24 @@
   parseTaskKey,
   seconds,
   since,
+  type DurationMs,
   type Epoch,
   type JobId,
   type MachineId,
 } from '../units/index.js';
+import type { Outcome } from '../net/http.js';
 import { Beat, type Entry, type Order } from '../wire/index.js';
 import type { Board } from './board.js';
 import type { TermDeps } from './deps.js';
 
 const COMMAND_TIMEOUT = ms(2500);
+/** The same where only a report that may be a late copy speaks for the machine being there at all. */
+const UNSURE_TIMEOUT = ms(1200);
+/** A machine that seems not to hear us is asked straight this often, and so many at a time. */
+const ASK_EVERY = seconds(4);
+const MOST_ASKED = 8;
+/** The share of a node's sockets that commands under way may take. */
+const COMMAND_SHARE = 0.08;
 /** After an unanswered command a machine gets its orders by report for a while. */
 const DIRECT_PAUSE = seconds(8);
 /** Orders that fit a response to a worker with room to spare. */
@@ -27,6 +36,7 @@
 export class Orders {
   private readonly pushes = new Set<Machine>();
   private pushing = false;
+  private underWay = 0;
   private closed = false;
 
   constructor(
@@ -129,36 +139,73 @@
     const m = this.board.fleet.machines.get(id);
     if (!m) return;
     this.pushes.add(m);
+    this.pushSoon();
+  }
+
+  private pushSoon(): void {
     if (this.pushing) return;
     this.pushing = true;
     this.deps.clock.after(ms(0), () => {
       this.pushing = false;
-      const list = [...this.pushes];
-      this.pushes.clear();
-      for (const machine of list) {
-        void this.command(machine).catch((e: unknown) =>
-          this.deps.log.error({ err: e, machine: machine.id }, 'command failed'),
-        );
-      }
+      this.pushAll();
     });
   }
 
-  private async command(m: Machine): Promise<void> {
-    const now = this.deps.clock.steady();
-    if (this.closed || m.directBusy || !m.up || !m.addr || !m.report || m.deleteSent) return;
-    if (now < m.directUntil || now > m.expires || this.deps.authority() !== this.epoch) return;
-    const { orders, started } = this.direct(m);
-    if (orders.length === 0) return;
+  /** As many at a time as there are sockets for; meanwhile the answers to reports tell the rest. */
+  private pushAll(): void {
+    const most = Math.max(4, this.deps.settings.limits.maxConnections * COMMAND_SHARE);
+    for (const m of this.pushes) {
+      if (this.underWay >= most) return;
+      this.pushes.delete(m);
+      if (!this.reachable(m)) continue;
+      const { orders, started } = this.direct(m);
+      if (orders.length > 0) this.dispatch(m, () => this.command(m, orders, started));
+    }
+  }
+
+  private dispatch(m: Machine, call: () => Promise<void>): void {
+    this.underWay++;
     m.directBusy = true;
-    const shift = m.report.shift;
+    void call()
+      .catch((e: unknown) => this.deps.log.error({ err: e, machine: m.id }, 'command failed'))
+      .finally(() => {
+        this.underWay--;
+        m.directBusy = false;
+        if (this.closed) return;
+        this.push(m.id);
+      });
+  }
+
+  private reachable(m: Machine): boolean {
+    const now = this.deps.clock.steady();
+    if (this.closed || m.directBusy || !m.up || !m.addr || !m.report || m.deleteSent) return false;
+    return now >= m.directUntil && now <= m.expires && this.deps.authority() === this.epoch;
+  }
+
+  /** A command under our epoch; the report that answers it, if one does, and how it went. */
+  private async send(
+    m: Machine,
+    orders: readonly Order[],
+    timeout: DurationMs,
+  ): Promise<{ kind: Outcome['kind']; why: string; report: Report | undefined }> {
+    if (!m.addr || !m.report) return { kind: 'undelivered', why: 'no address', report: undefined };
     const outcome = await this.deps.http.send({
+      lane: 'worker',
       endpoint: m.addr,
       method: 'POST',
       path: '/commands',
-      body: { baton: this.epoch, shift, orders },
-      timeout: COMMAND_TIMEOUT,
+      body: { baton: this.epoch, shift: m.report.shift, orders },
+      timeout,
     });
-    m.directBusy = false;
+    if (outcome.kind !== 'answer') return { ...outcome, report: undefined };
+    const body = Beat.safeParse(outcome.body);
+    const sound = body.success && !this.board.fleet.isGone(m.id) && body.data.box === m.id;
+    return { kind: 'answer', why: '', report: sound ? toReport(body.data) : undefined };
+  }
+
+  private async command(m: Machine, orders: Order[], started: string[]): Promise<void> {
+    const unsure = this.isUnsure(m);
+    const outcome = await this.send(m, orders, unsure ? UNSURE_TIMEOUT : COMMAND_TIMEOUT);
     if (this.closed) return;
     if (outcome.kind === 'answer') {
       // Carried out or refused: either way nothing of it is under way any more.
@@ -166,17 +213,71 @@
         m.doubts.delete(attempt);
         m.direct.set(attempt, { ended: undefined });
       }
-      const body = Beat.safeParse(outcome.body);
-      if (body.success && !this.board.fleet.isGone(m.id) && body.data.box === m.id) {
-        const r = toReport(body.data);
-        if (m.take(r, this.deps.clock.steady())) this.observe(m, r);
+      if (outcome.report && m.take(outcome.report, this.deps.clock.steady())) {
+        this.observe(m, outcome.report);
       }
-    } else {
-      if (outcome.kind === 'undelivered') for (const attempt of started) m.doubts.delete(attempt);
-      this.deps.log.info({ machine: m.id, why: outcome.why }, 'command not answered');
-      m.directUntil = later(this.deps.clock.steady(), DIRECT_PAUSE);
+      return;
     }
-    this.push(m.id);
+    this.deps.log.info({ machine: m.id, why: outcome.why }, 'command not answered');
+    m.directUntil = later(this.deps.clock.steady(), DIRECT_PAUSE);
+    if (outcome.kind !== 'undelivered') return;
+    for (const attempt of started) m.doubts.delete(attempt);
+    if (unsure && this.isUnsure(m)) this.takeBack(m, started);
+  }
+
+  /** Known by reports from before our epoch alone, which may be late copies from a machine long gone. */
+  isUnsure(m: Machine): boolean {
+    return m.report !== undefined && m.report.baton < this.epoch;
+  }
+
+  /** Starts that never left need no proof of absence. */
+  private takeBack(m: Machine, started: readonly string[]): void {
+    const never = new Set(started);
+    for (const [key, a] of [...m.assigned]) {
+      const job = this.jobs.get(a.job);
+      const p = job?.placed.get(a.index);
+      if (!job || !p || p.sent || p.seen || !never.has(attemptKey(key, a.attempt))) continue;
+      this.board.unplace(job, a.index, 'its start never left');
+    }
+  }
+
+  /** Asks machines that seem deaf, or only repeat what is old, straight whether they hear us. */
+  askSilent(machines: Iterable<Machine>, silentAfter: DurationMs): void {
+    const now = this.deps.clock.steady();
+    let most = MOST_ASKED;
+    for (const m of machines) {
+      if (most <= 0) return;
+      const repeats =
+        m.repeatedAt !== undefined &&
+        since(m.repeatedAt, now) < silentAfter &&
+        m.lastHeard !== undefined &&
+        since(m.lastHeard, now) > silentAfter / 2;
+      if (m.deafSince === undefined && !repeats) continue;
+      if (m.askedAt !== undefined && since(m.askedAt, now) < ASK_EVERY) continue;
+      if (!m.up || m.directBusy || m.deleteSent || this.deps.authority() !== this.epoch) continue;
+      m.askedAt = now;
+      most--;
+      this.dispatch(m, () => this.ask(m));
+    }
+  }
+
+  private async ask(m: Machine): Promise<void> {
+    const before = m.report;
+    const { report } = await this.send(m, [], UNSURE_TIMEOUT);
+    if (this.closed || !report || !before) return;
+    const now = this.deps.clock.steady();
+    m.heeded();
+    // It was made after we asked, and yet counts as older than what we knew by then.
+    if (!isAfter(report, before)) {
+      this.deps.log.warn({ machine: m.id }, 'machine counts its messages from the start again');
+      m.reborn(report, now);
+      // What answers carried to the machine before was for one that is gone.
+      for (const a of m.assigned.values()) {
+        const p = this.jobs.get(a.job)?.placed.get(a.index);
+        if (p) delete p.sent;
+      }
+    } else if (!m.take(report, now)) return;
+    this.observe(m, report);
   }
 
   /** What is to be told to a machine at once, and the attempts whose start is part of it. */
--- a/src/leader/reports.ts
+++ b/src/leader/reports.ts
@@ -1,5 +1,6 @@
 import {
   attemptKey,
+  isAfter,
   leaseEnd,
   provenAbsent,
   toReport,
@@ -28,6 +29,8 @@
 const FAULT_HOLD = seconds(15);
 const MAX_HOLD = seconds(240);
 const FULL_HOLD = seconds(2);
+/** A worker whose lease had so much of its time left when it began a new session never got our answer. */
+const HEARD_SHARE = 0.4;
 
 /** Takes in what machines report, and what follows from it for the tasks on them. */
 export class Reports {
@@ -48,15 +51,44 @@
     if (fleet.isGone(id)) return none;
     const m = fleet.meet(id, { build: b.build, hall: b.hall, spot: b.loaners }, b.addr);
     const wasUp = m.up;
+    const last = m.report;
     const r = toReport(b);
     const fresh = m.take(r, now);
-    m.answered(leaseEnd(now, this.deps.settings.workers.lease));
+    const { lease } = this.deps.settings.workers;
+    if (fresh && last) this.noteHearing(m, r, last, now);
+    m.answered(leaseEnd(now, lease));
     if (!fresh || !ready) return none;
     if (!wasUp) this.wake();
     this.observe(m, r, true);
     return { baton: this.epoch, orders: this.orders.answer(m, r) };
   }
 
+  /**
+   * Whether a machine hears what we tell it. One whose reports arrive while our answers do not would
+   * keep its tasks for ever, since each of its reports seems to renew its lease.
+   */
+  private noteHearing(m: Machine, r: Report, last: Report, now: SteadyMs): void {
+    const { lease } = this.deps.settings.workers;
+    if (r.baton >= this.epoch && last.baton < this.epoch) m.heeded();
+    // Its lease ran out though its last report was answered in time.
+    const cutShort = r.shift > last.shift && since(now, m.expires) > lease * HEARD_SHARE;
+    if (cutShort && last.baton >= this.epoch) {
+      m.deafSince ??= now;
+      return;
+    }
+    let ignored = r.baton < this.epoch;
+    for (const [key, a] of m.assigned) {
+      const p = this.board.ledger.jobs.get(a.job)?.placed.get(a.index);
+      if (!p?.sent || p.seen) continue;
+      if (r.byAttempt.has(attemptKey(key, a.attempt))) {
+        m.heeded();
+        return;
+      }
+      ignored ||= isAfter(r, p.sent);
+    }
+    if (ignored) m.ignored(now);
+  }
+
   /** Takes in what a report shows. */
   observe(m: Machine, r: Report, beat: boolean): void {
     const now = this.deps.clock.steady();
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -19,8 +19,9 @@
 } from '../units/index.js';
 import type { Beat, BeatReply, JobSpec } from '../wire/index.js';
 import { Board } from './board.js';
-import type { Hints, TermDeps } from './deps.js';
+import type { TermDeps } from './deps.js';
 import { Dispatch } from './dispatch.js';
+import { HintTeller } from './hints.js';
 import { Orders } from './orders.js';
 import { Reports } from './reports.js';
 
@@ -48,6 +49,7 @@
   private readonly orders: Orders;
   private readonly reports: Reports;
   private readonly dispatch: Dispatch;
+  private readonly teller = new HintTeller();
   private hintsSent: SteadyMs;
   private fleetTold: SteadyMs;
   private ruled = true;
@@ -77,7 +79,7 @@
       began,
       lease: settings.workers.lease,
       cacheOf: (build) => catalog.flavor(build)?.cache_gb,
-      hinted: (id) => deps.hints[id] ?? [],
+      hinted: (id) => deps.hints.of(id),
       sizeOf: (id) => {
         const job = this.ledger.jobs.get(id);
         return job && sizeOfSpec(job.spec);
@@ -123,7 +125,7 @@
   async start(): Promise<void> {
     for (;;) {
       if (this.closed) return;
-      const listed = await this.deps.store.list(LIVE_PREFIX, STORE_TIMEOUT);
+      const listed = await this.deps.store.list(LIVE_PREFIX, STORE_TIMEOUT, true);
       if (this.closed) return;
       if (!listed) {
         await sleep(this.deps.clock, ms(300));
@@ -162,6 +164,7 @@
         this.tellFleet();
         this.dispatch.wake();
         this.capacity.tick();
+        this.orders.askSilent(this.fleet.machines.values(), this.dispatch.silentAfter);
       }
       this.ledger.kick();
     } catch (e) {
@@ -201,9 +204,9 @@
     const now = this.deps.clock.steady();
     if (since(this.hintsSent, now) < HINTS_EVERY) return;
     this.hintsSent = now;
-    const images: Hints = {};
-    for (const m of this.fleet.machines.values()) if (m.up) images[m.id] = m.images.list();
-    this.deps.tellHints(images);
+    const up = [...this.fleet.machines.values()].filter((m) => m.up);
+    const known = up.map((m) => ({ id: m.id, images: m.images.list() }));
+    for (const part of this.teller.parts(known, now)) this.deps.tellHints(part);
   }
 
   // --- jobs -------------------------------------------------------------------------------------
--- a/src/ledger/front.ts
+++ b/src/ledger/front.ts
@@ -9,6 +9,11 @@
 const ABORT = '/abort';
 const TIMEOUT = ms(1500);
 const WATCH = ms(10_000);
+/** A user's question or request waits so long for its turn at the store, and is told to come back else. */
+const PATIENCE = ms(1000);
+const FOR_USER = { patience: PATIENCE };
+/** Final records are immutable: those read last need not be read again. */
+const MAX_FINALS = 2000;
 
 export type Held =
   | { kind: 'live'; job: Job }
@@ -28,6 +33,8 @@
  * that is not there yet, and cancel one while there is no leader at all.
  */
 export class StoreFront {
+  private readonly finals = new Map<JobId, Final>();
+
   constructor(
     private readonly store: StoreClient,
     private readonly clock: Clock,
@@ -38,16 +45,26 @@
    * found absent in this order was in neither place when the first answer was given.
    */
   async lookup(id: JobId): Promise<Held> {
-    const live = await this.store.get(liveKey(id), TIMEOUT);
+    const known = this.finals.get(id);
+    if (known) return { kind: 'final', final: known };
+    const live = await this.store.get(liveKey(id), TIMEOUT, FOR_USER);
     if (live.kind === 'failed') return { kind: 'unsure' };
     if (live.kind === 'found') {
       return { kind: 'live', job: decodeJob(id, live.data, live.stamp, this.clock.steady()) };
     }
-    const done = await this.store.get(doneKey(id), TIMEOUT);
+    const done = await this.store.get(doneKey(id), TIMEOUT, FOR_USER);
     if (done.kind === 'failed') return { kind: 'unsure' };
-    return done.kind === 'found'
-      ? { kind: 'final', final: decodeFinal(done.data) }
-      : { kind: 'absent' };
+    if (done.kind === 'absent') return { kind: 'absent' };
+    return { kind: 'final', final: this.remember(id, decodeFinal(done.data)) };
+  }
+
+  private remember(id: JobId, final: Final): Final {
+    this.finals.set(id, final);
+    if (this.finals.size > MAX_FINALS) {
+      const oldest = this.finals.keys().next().value;
+      if (oldest !== undefined) this.finals.delete(oldest);
+    }
+    return final;
   }
 
   /** How long a creation would wait for its turn. */
@@ -72,6 +89,7 @@
         { put: this.noticeKey(id), data: {} },
       ],
       TIMEOUT,
+      FOR_USER,
     );
     if (result.kind === 'committed') return 'created';
     return result.kind === 'conflict' ? 'exists' : 'unsure';
@@ -95,11 +113,13 @@
           [...conditions, { key: doneKey(id), stamp: 0 }],
           [{ put: doneKey(id), data: encodeFinal(job.final()) }, { delete: liveKey(id) }],
           TIMEOUT,
+          FOR_USER,
         )
       : await this.store.multi(
           conditions,
           [{ put: liveKey(id), data: encodeJob(job, Epoch(0)) }],
           TIMEOUT,
+          FOR_USER,
         );
     if (result.kind !== 'committed') return { kind: 'unsure' };
     return job.settled ? { kind: 'final', final: job.final() } : held;
@@ -111,6 +131,7 @@
       [{ key: doneKey(id), stamp: 0 }],
       [{ put: `${this.noticeKey(id)}${ABORT}`, data: {} }],
       TIMEOUT,
+      FOR_USER,
     );
     return put.kind === 'committed';
   }
--- a/src/main.ts
+++ b/src/main.ts
@@ -8,15 +8,21 @@
 import { parseCommandLine } from './cli/cli.js';
 import { defaultOperator, type OperatorSettings } from './config/operator.js';
 import type { Settings } from './config/settings.js';
-import { NodeHttpClient } from './net/http.js';
+import { LANE_SOCKETS, NodeHttpClient } from './net/http.js';
 import { Controller } from './node.js';
 import { PeerLink, servePeers } from './peer/channel.js';
 import { systemClock } from './units/system.js';
 import type { Endpoint, NodeId } from './units/index.js';
 
-const KEEP_ALIVE_MS = 120_000;
-/** Sockets kept for our own calls: store, cloud, machines, the other nodes. */
-const OWN_SOCKETS = 160;
+/** Connections of workers and users that ended silently, behind a cut, are dropped after so many reports. */
+const IDLE_REPORTS = 6;
+const LEAST_IDLE_MS = 20_000;
+/** The share of a node's sockets that its own calls to workers may take, those that are kept included. */
+const COMMAND_SHARE = 0.12;
+/** For each other node, one each way and one that is being dialled anew. */
+const PEER_SOCKETS = 3;
+/** The two that listen, and what the process itself holds. */
+const SPARE_SOCKETS = 12;
 
 function listenOn(server: { listen(port: number, host: string): unknown }, at: Endpoint): void {
   const cut = at.lastIndexOf(':');
@@ -40,6 +46,9 @@
   process.on('uncaughtException', (e) => log.error({ err: e }, 'uncaught error'));
   process.on('unhandledRejection', (e) => log.error({ err: e }, 'unhandled rejection'));
 
+  const { maxConnections } = settings.limits;
+  const commands = Math.max(4, Math.floor(maxConnections * COMMAND_SHARE));
+  const own = commands + LANE_SOCKETS + PEER_SOCKETS * settings.others.length + SPARE_SOCKETS;
   const generator = xoroshiro128plus(randomInt(0x7fffffff));
   const random = (): number => uniformFloat64(generator);
   const links = new Map<NodeId, PeerLink>(
@@ -48,18 +57,24 @@
   const controller = new Controller(settings, operator, {
     clock: systemClock,
     random,
-    http: new NodeHttpClient(8, 4),
+    http: new NodeHttpClient(commands, 2, 1),
     log,
     peers: links,
     run: randomUUID(),
   });
 
+  const keepAlive = Math.max(LEAST_IDLE_MS, settings.workers.report * IDLE_REPORTS);
   const api = http.createServer(
-    { keepAliveTimeout: KEEP_ALIVE_MS, headersTimeout: 15_000, requestTimeout: 30_000 },
+    {
+      keepAliveTimeout: keepAlive,
+      headersTimeout: 8000,
+      requestTimeout: 10_000,
+      connectionsCheckingInterval: 5000,
+    },
     // koa answers all its errors itself.
     createApp(controller.service, log).callback() as http.RequestListener,
   );
-  api.maxConnections = Math.max(16, settings.limits.maxConnections - OWN_SOCKETS);
+  api.maxConnections = Math.max(16, maxConnections - own);
   const peers = servePeers((request) => controller.service.peer(request), log);
   const failed = (what: string) => (e: Error) => {
     log.error({ err: e }, `${what} failed`);
--- a/src/net/http.ts
+++ b/src/net/http.ts
@@ -3,8 +3,13 @@
 import type { DurationMs, Endpoint } from '../units/index.js';
 import { CONTENT_TYPE, decode, encode } from '../wire/index.js';
 
+/** Whom a call goes to. Each has sockets of its own, so that no call waits behind another's. */
+export type Lane = 'lease' | 'store' | 'cloud' | 'worker';
+
 export interface Request {
   readonly endpoint: Endpoint;
+  /** If it is not said, a host among many, as workers are. */
+  readonly lane?: Lane;
   readonly method: 'GET' | 'POST' | 'DELETE';
   readonly path: string;
   readonly body?: unknown;
@@ -51,20 +56,65 @@
 /** A watch's answer holds all changes and has no size limit; this bounds what we would hold. */
 const MAX_ANSWER = 4 * 1024 * 1024;
 
+/** The most sockets of the lanes that lead to a single host, and how many of them are kept. */
+const LANES: Record<Exclude<Lane, 'worker'>, { most: number; idle: number }> = {
+  lease: { most: 3, idle: 1 },
+  store: { most: 16, idle: 6 },
+  cloud: { most: 3, idle: 1 },
+};
+/** What those take of a node's sockets together. */
+export const LANE_SOCKETS = Object.values(LANES).reduce((n, l) => n + l.most, 0);
+
+const agentOf = (most: number, idle: number): http.Agent =>
+  new http.Agent({
+    keepAlive: true,
+    maxSockets: most,
+    maxFreeSockets: idle,
+    scheduling: 'lifo',
+  });
+
 /** HTTP with CBOR bodies over kept connections. */
 export class NodeHttpClient implements HttpClient {
-  private readonly agent: http.Agent;
+  private readonly lanes: Readonly<Record<Exclude<Lane, 'worker'>, http.Agent>> = {
+    lease: agentOf(LANES.lease.most, LANES.lease.idle),
+    store: agentOf(LANES.store.most, LANES.store.idle),
+    cloud: agentOf(LANES.cloud.most, LANES.cloud.idle),
+  };
+  private readonly workers: http.Agent;
+  private underWay = 0;
 
-  constructor(maxSocketsPerHost: number, maxIdle: number) {
-    this.agent = new http.Agent({
-      keepAlive: true,
-      maxSockets: maxSocketsPerHost,
-      maxFreeSockets: maxIdle,
-      scheduling: 'lifo',
-    });
+  /** `total`: the most sockets for hosts of which there are many, those that are kept included. */
+  constructor(
+    private readonly total: number,
+    perHost: number,
+    idlePerHost: number,
+  ) {
+    this.workers = agentOf(perHost, idlePerHost);
+  }
+
+  /**
+   * Whether one more call to a worker may leave. The agent keeps a socket for each host that was ever
+   * called, and with a thousand of them those would take all that a node may open: the one that has
+   * been idle for longest gives way.
+   */
+  private roomFor(endpoint: Endpoint): boolean {
+    const idle = Object.entries(this.workers.freeSockets);
+    const open = idle.reduce((n, [, sockets]) => n + (sockets?.length ?? 0), this.underWay);
+    if (open < this.total) return true;
+    if (idle.some(([name]) => name.startsWith(`${endpoint}:`))) return true;
+    // Hosts come in the order in which they fell idle.
+    const oldest = idle[0]?.[1]?.[0];
+    oldest?.destroy();
+    return oldest !== undefined;
   }
 
   send(request: Request): Promise<Outcome> {
+    const lane = request.lane ?? 'worker';
+    const toWorker = lane === 'worker';
+    if (toWorker && !this.roomFor(request.endpoint)) {
+      return Promise.resolve({ kind: 'undelivered', why: 'no socket is free' });
+    }
+    if (toWorker) this.underWay++;
     return new Promise((resolve) => {
       const cut = request.endpoint.lastIndexOf(':');
       let connected = false;
@@ -72,6 +122,7 @@
       const settle = (outcome: Outcome): void => {
         if (settled) return;
         settled = true;
+        if (toWorker) this.underWay--;
         clearTimeout(timer);
         resolve(outcome);
       };
@@ -83,7 +134,7 @@
         port: Number(request.endpoint.slice(cut + 1)),
         method: request.method,
         path: request.path,
-        agent: this.agent,
+        agent: toWorker ? this.workers : this.lanes[lane],
         headers: bytes
           ? { 'content-type': CONTENT_TYPE, 'content-length': bytes.length }
           : { accept: CONTENT_TYPE },
--- a/src/node.ts
+++ b/src/node.ts
@@ -7,14 +7,14 @@
 import { CloudClient } from './cloud/client.js';
 import { StoreFront } from './ledger/front.js';
 import { Election } from './leader/election.js';
-import type { Hints } from './leader/deps.js';
+import { HintBook, type Hints } from './leader/hints.js';
 import { Term } from './leader/term.js';
 import type { HttpClient } from './net/http.js';
 import type { Peer } from './peer/channel.js';
 import { Pulses, recently } from './peer/pulses.js';
 import { StoreClient } from './store/client.js';
 import { NodeId, ms, seconds, sleep, type Clock, type Random } from './units/index.js';
-import { MAX_BODY, decode, encode } from './wire/index.js';
+import { decode, encode } from './wire/index.js';
 
 const CATALOG_KEY = 'catalog';
 const CATALOG_EVERY = seconds(60);
@@ -40,7 +40,7 @@
   private readonly catalog = new Catalog();
   private readonly pulses: Pulses;
   private term: Term | undefined;
-  private hints: Hints = {};
+  private readonly hints = new HintBook();
   private stopped = false;
 
   constructor(
@@ -127,14 +127,12 @@
 
   private takeHints(body: Buffer): void {
     const parsed = HintsBody.safeParse(decode(body));
-    if (parsed.success) this.hints = parsed.data;
+    if (parsed.success) this.hints.take(parsed.data, this.world.clock.steady());
   }
 
   private tellHints(hints: Hints): void {
-    this.hints = hints;
+    this.hints.take(hints, this.world.clock.steady());
     const body = encode(hints);
-    // A frame holds a little more than 64 KiB; hints that do not fit are done without.
-    if (body.length > MAX_BODY) return;
     for (const peer of this.world.peers.values()) {
       if (!peer.responsive) continue;
       void peer.ask({ kind: 'hints', method: '', path: '', body }, HINTS_TIMEOUT);
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -2,8 +2,8 @@
 import { Bucket } from './budget.js';
 import {
   Revision,
+  later,
   ms,
-  sleep,
   type Clock,
   type DurationMs,
   type Endpoint,
@@ -62,6 +62,12 @@
   leaderless: { requests: 0.95, writes: 0.95 },
 };
 
+interface Waiting {
+  readonly writes: number;
+  readonly until: SteadyMs;
+  readonly resolve: (turn: boolean) => void;
+}
+
 /**
  * The state service. Requests and writes leave under token buckets: all nodes share its rates, and
  * what it turns away with 429 would cost as much as what it carries out.
@@ -71,6 +77,9 @@
   private writes: Bucket;
   private role: Role = 'leaderless';
   private served: SteadyMs;
+  /** Calls that wait for their turn under the budgets, in the order in which they came. */
+  private line: Waiting[] = [];
+  private serving = false;
 
   constructor(
     private readonly http: HttpClient,
@@ -106,25 +115,67 @@
     this.writes = this.bucket(this.limits.writeRps, 'writes');
   }
 
+  /** Waits for its turn; false, at once, if that would not come within `patience`. */
+  private turn(writes: number, patience: DurationMs): Promise<boolean> {
+    if (this.line.length === 0 && this.take(writes)) return Promise.resolve(true);
+    const until = later(this.clock.steady(), patience);
+    if (this.expectedWait() > patience) return Promise.resolve(false);
+    return new Promise((resolve) => {
+      this.line.push({ writes, until, resolve });
+      this.serveLine();
+    });
+  }
+
+  private take(writes: number): boolean {
+    if (this.writes.wait(writes) > 0 || !this.requests.tryTake(1)) return false;
+    this.writes.spend(writes);
+    return true;
+  }
+
+  private expectedWait(): DurationMs {
+    return this.requests.wait(this.line.length + 1);
+  }
+
+  /** First come, first served, but what waits for writes holds up nobody who only reads. */
+  private serveLine(): void {
+    if (this.serving) return;
+    const now = this.clock.steady();
+    let pause = Infinity;
+    const rest: Waiting[] = [];
+    for (const w of this.line) {
+      // Whoever asked has been told to come back by now: the answer would be for nobody.
+      if (now > w.until) w.resolve(false);
+      else if (this.take(w.writes)) w.resolve(true);
+      else {
+        rest.push(w);
+        pause = Math.min(pause, Math.max(this.requests.wait(1), this.writes.wait(w.writes)));
+      }
+    }
+    this.line = rest;
+    if (rest.length === 0) return;
+    this.serving = true;
+    this.clock.after(ms(Math.max(1, pause) + this.random() * 5), () => {
+      this.serving = false;
+      this.serveLine();
+    });
+  }
+
   private async send(
-    request: Omit<Request, 'endpoint'>,
-    opts: { urgent?: boolean; writes?: number } = {},
+    request: Omit<Request, 'endpoint' | 'lane'>,
+    opts: { urgent?: boolean; writes?: number; patience?: DurationMs } = {},
   ): Promise<Outcome> {
     const writes = opts.writes ?? 0;
     if (opts.urgent) {
       this.requests.spend(1);
       this.writes.spend(writes);
-    } else {
-      for (;;) {
-        const pause = Math.max(this.requests.wait(1), this.writes.wait(writes));
-        if (pause <= 0 && this.requests.tryTake(1)) {
-          this.writes.spend(writes);
-          break;
-        }
-        await sleep(this.clock, ms(Math.max(1, pause) + this.random() * 5));
-      }
+    } else if (!(await this.turn(writes, opts.patience ?? ms(Infinity)))) {
+      return { kind: 'undelivered', why: 'no turn in time' };
     }
-    const outcome = await this.http.send({ ...request, endpoint: this.endpoint });
+    const outcome = await this.http.send({
+      ...request,
+      lane: opts.urgent ? 'lease' : 'store',
+      endpoint: this.endpoint,
+    });
     if (outcome.kind === 'answer' && outcome.status !== 503) this.served = this.clock.steady();
     if (outcome.kind === 'answer' && outcome.status === 429) {
       this.requests.drain();
@@ -149,8 +200,13 @@
     return this.writes.rate;
   }
 
-  async get(key: string, timeout: DurationMs, urgent = false): Promise<Read> {
-    const o = await this.send({ method: 'GET', path: `/store/${key}`, timeout }, { urgent });
+  /** `patience`: how long it may wait for its turn under the budgets. */
+  async get(
+    key: string,
+    timeout: DurationMs,
+    opts: { urgent?: boolean; patience?: DurationMs } = {},
+  ): Promise<Read> {
+    const o = await this.send({ method: 'GET', path: `/store/${key}`, timeout }, opts);
     if (o.kind !== 'answer') return { kind: 'failed', why: o.why };
     if (o.status === 404) return { kind: 'absent' };
     const body = Found.safeParse(o.body);
@@ -164,14 +220,14 @@
   }
 
   /** Every key under a prefix, page by page; undefined if a page could not be had. */
-  async list(prefix: string, timeout: DurationMs): Promise<Listed | undefined> {
+  async list(prefix: string, timeout: DurationMs, urgent = false): Promise<Listed | undefined> {
     const items: { key: string; data: unknown; stamp: Revision }[] = [];
     let from: string | undefined;
     for (;;) {
       // Keys hold no character that a query would have to escape.
       const after = from === undefined ? '' : `&from=${from}`;
       const path = `/store?starts=${prefix}${after}&limit=200`;
-      const o = await this.send({ method: 'GET', path, timeout });
+      const o = await this.send({ method: 'GET', path, timeout }, { urgent });
       if (o.kind !== 'answer' || o.status !== 200) return undefined;
       const page = Page.safeParse(o.body);
       if (!page.success) return undefined;
@@ -190,11 +246,11 @@
     conditions: readonly Condition[],
     writes: readonly Write[],
     timeout: DurationMs,
-    urgent = false,
+    opts: { urgent?: boolean; patience?: DurationMs } = {},
   ): Promise<Commit> {
     const o = await this.send(
       { method: 'POST', path: '/multi', body: { if: conditions, writes }, timeout },
-      { writes: writes.length, urgent },
+      { ...opts, writes: writes.length },
     );
     if (o.kind === 'unknown') return { kind: 'unknown', why: o.why };
     if (o.kind === 'undelivered') return { kind: 'refused', why: o.why };
--- a/test/standin/load.ts
+++ b/test/standin/load.ts
@@ -101,7 +101,7 @@
     const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
     return Number(fields[11]) + Number(fields[12]);
   };
-  const client = new NodeHttpClient(64, 64);
+  const client = new NodeHttpClient(64, 64, 64);
   const endpoint = Endpoint(`127.0.0.1:${ports.api}`);
   let n = 0;
   const submit = async (kind: (typeof KINDS)[number]): Promise<void> => {
--- a/test/standin/loopback.ts
+++ b/test/standin/loopback.ts
@@ -54,7 +54,7 @@
   readonly state: StateService;
   readonly cloud: Cloud;
   readonly running = new Map<string, { worker: Worker; server: http.Server }>();
-  private readonly client = new NodeHttpClient(4, 4);
+  private readonly client = new NodeHttpClient(4000, 4, 4);
 
   constructor(private readonly options: LoopbackOptions) {
     const { ports } = options;
--- a/test/standin/submit.ts
+++ b/test/standin/submit.ts
@@ -5,7 +5,7 @@
 
 /** The quick start's user: submits a job of so many tasks and follows it to its end. */
 const entries = Number(process.argv[2] ?? 3);
-const client = new NodeHttpClient(1, 1);
+const client = new NodeHttpClient(1, 1, 1);
 const id = `run-${String(Date.now() % 1_000_000).padStart(6, '0')}`;
 const ask = (method: 'GET' | 'POST', path: string, body?: unknown) =>
   client.send({ endpoint: Endpoint('127.0.0.1:18080'), method, path, body, timeout: ms(5000) });
