--- a/src/api/service.ts
+++ b/src/api/service.ts
@@ -51,6 +51,8 @@
 const RELAY_SUBMIT = ms(600);
 /** A node that could not write a submission for this long says so at once. */
 const MOST_OWN_WAIT = ms(1000);
+/** What the store said longer ago than this may not be the latest any more. */
+const FRESH = ms(250);
 const RELAY_READ = ms(800);
 const RELAY_ABORT = ms(1500);
 const RELAY_BEAT = ms(2500);
@@ -207,9 +209,13 @@
     // No leader can be reached: the record is made by this node, if there is none.
     const wait = this.front.createWait();
     if (wait > MOST_OWN_WAIT) return { status: 429, retryAfter: Math.ceil(wait / 1000) };
+    const asked = this.clock.steady();
     const made = await this.front.create(parsed.value);
     if (made === 'created') {
       this.notify(parsed.value.name_id);
+      // The store's word came late: the user may have been told since that the job is cancelled.
+      if (since(asked, this.clock.steady()) > FRESH)
+        return this.readNow(parsed.value.name_id, relay);
       return { status: 201, body: { name_id: parsed.value.name_id, status: 'pending' } };
     }
     if (made === 'exists') {
--- a/src/capacity/keeper.ts
+++ b/src/capacity/keeper.ts
@@ -291,7 +291,7 @@
     const working = new Map<string, { offer: Offer; total: Size; busy: number; work: number }>();
     for (const m of this.machines.values()) {
       const f = this.catalog.flavor(m.place.build);
-      if (!f || m.draining || m.deleteSent) continue;
+      if (!f || m.draining || m.deleteSent || m.isGhost(this.epoch, now)) continue;
       const total = sizeOfFlavor(f);
       if (!m.up) {
         const booting = m.bootingSince !== undefined && since(m.bootingSince, now);
--- a/src/fleet/machine.ts
+++ b/src/fleet/machine.ts
@@ -222,6 +222,16 @@
     this.direct.clear();
   }
 
+  /** Heard of only by reports from before an epoch, which may be late copies from a machine long gone. */
+  isUnsure(epoch: Epoch): boolean {
+    return this.report !== undefined && this.report.baton < epoch;
+  }
+
+  /** Unsure, and not there when it was told something. */
+  isGhost(epoch: Epoch, now: SteadyMs): boolean {
+    return this.directUntil > now && this.isUnsure(epoch);
+  }
+
   /** Takes no new tasks, and those that are not there yet go elsewhere. */
   get draining(): boolean {
     return this.returning || this.recallAt !== undefined || this.deafSince !== undefined;
--- a/src/leader/dispatch.ts
+++ b/src/leader/dispatch.ts
@@ -17,6 +17,7 @@
   since,
   taskKey,
   type DurationMs,
+  type Epoch,
   type MachineId,
   type SteadyMs,
 } from '../units/index.js';
@@ -42,6 +43,7 @@
   ready = false;
 
   constructor(
+    private readonly epoch: Epoch,
     private readonly board: Board,
     private readonly orders: Orders,
     private readonly deps: TermDeps,
@@ -192,8 +194,7 @@
     for (const m of this.machines.values()) {
       if (!m.up || m.draining || m.deleteSent || m.heldUntil > now || !m.addr || !m.report)
         continue;
-      // Told of by what may be late copies alone, and not answering when it was told something.
-      if (m.directUntil > now && this.orders.isUnsure(m)) continue;
+      if (m.isGhost(this.epoch, now)) continue;
       if (m.lastHeard === undefined || since(m.lastHeard, now) > silent) continue;
       const flavor = this.deps.catalog.flavor(m.place.build);
       if (!flavor) continue;
--- a/src/leader/orders.ts
+++ b/src/leader/orders.ts
@@ -204,7 +204,7 @@
   }
 
   private async command(m: Machine, orders: Order[], started: string[]): Promise<void> {
-    const unsure = this.isUnsure(m);
+    const unsure = m.isUnsure(this.epoch);
     const outcome = await this.send(m, orders, unsure ? UNSURE_TIMEOUT : COMMAND_TIMEOUT);
     if (this.closed) return;
     if (outcome.kind === 'answer') {
@@ -222,12 +222,7 @@
     m.directUntil = later(this.deps.clock.steady(), DIRECT_PAUSE);
     if (outcome.kind !== 'undelivered') return;
     for (const attempt of started) m.doubts.delete(attempt);
-    if (unsure && this.isUnsure(m)) this.takeBack(m, started);
-  }
-
-  /** Known by reports from before our epoch alone, which may be late copies from a machine long gone. */
-  isUnsure(m: Machine): boolean {
-    return m.report !== undefined && m.report.baton < this.epoch;
+    if (unsure && m.isUnsure(this.epoch)) this.takeBack(m, started);
   }
 
   /** Starts that never left need no proof of absence. */
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -88,7 +88,7 @@
     this.board = new Board(this.ledger, this.fleet, clock, log, () => this.dispatch.wake());
     this.orders = new Orders(epoch, this.board, deps, (m, r) => this.reports.observe(m, r, false));
     this.reports = new Reports(epoch, this.board, this.orders, deps, () => this.dispatch.wake());
-    this.dispatch = new Dispatch(this.board, this.orders, deps);
+    this.dispatch = new Dispatch(epoch, this.board, this.orders, deps);
     this.capacity = new CapacityKeeper(
       {
         fleet: this.fleet,
@@ -237,9 +237,8 @@
     if (known) {
       if (known.kind === 'job' && known.job.revision === 0) {
         await this.ledger.written(known.job);
-        return this.known(id) ?? { kind: 'unsure' };
       }
-      return known;
+      return (await this.latest(id)) ?? { kind: 'unsure' };
     }
     // What can't be written soon is refused at once: whoever asks is told when to come back.
     const wait = this.ledger.intakeWait();
@@ -251,10 +250,11 @@
     // What finds room now is placed in the same transaction that takes the job in.
     this.dispatch.place();
     const ok = await this.ledger.written(job);
-    const now = this.known(id);
+    const now = await this.latest(id);
     if (now?.kind === 'final') return now;
     if (now?.kind === 'job' && now.job.revision > 0) {
-      return ok && now.job === job ? { kind: 'created' } : now;
+      // It may have been cancelled, too, while it was being written.
+      return ok && now.job === job && !job.aborted ? { kind: 'created' } : now;
     }
     return { kind: 'unsure' };
   }
@@ -266,15 +266,21 @@
     return final ? { kind: 'final', final } : undefined;
   }
 
+  /**
+   * What we know of the job, unless another node may have read its end in the store before we are
+   * told of it: never answer older, to whatever question.
+   */
+  private async latest(id: JobId): Promise<Answer | undefined> {
+    const known = this.known(id);
+    if (known?.kind !== 'job' || !known.job.turning) return known;
+    await this.ledger.written(known.job);
+    const now = this.known(id);
+    return now?.kind === 'job' && now.job.turning ? { kind: 'unsure' } : now;
+  }
+
   /** The job as it is, by memory or, if it is not there, by the store. */
   async find(id: JobId): Promise<Answer> {
-    let known = this.known(id);
-    if (known?.kind === 'job' && known.job.turning) {
-      // Another node may have read its end in the store before we are told: never answer older.
-      await this.ledger.written(known.job);
-      known = this.known(id);
-      if (known?.kind === 'job' && known.job.turning) return { kind: 'unsure' };
-    }
+    const known = await this.latest(id);
     if (known) {
       return known.kind === 'job' && known.job.revision === 0 ? { kind: 'unsure' } : known;
     }
--- a/src/ledger/job.ts
+++ b/src/ledger/job.ts
@@ -67,6 +67,8 @@
   inFlight = false;
   /** The write under way makes it cancelled or final: others may already read that in the store. */
   turning = false;
+  /** A write that makes it so got no answer: it may be carried out as long as no later one was. */
+  endUnsure = false;
   press: Press = Press.none;
   shown: Shown = { aborted: false, done: 0, running: 0 };
   /** A creation whose outcome is unknown must be tried until it is known. */
--- a/src/ledger/ledger.ts
+++ b/src/ledger/ledger.ts
@@ -157,7 +157,7 @@
     if (pause > 0) return pause;
     let ahead = 1;
     for (const job of this.dirty.keys()) if (job.press === Press.intake && !job.inFlight) ahead++;
-    return this.store.writeWait(ahead);
+    return this.store.writeBacklog(ahead);
   }
 
   forgetNotice(key: string): void {
@@ -304,7 +304,7 @@
         writes.push({ put: key, data: record });
       }
       job.inFlight = true;
-      job.turning = final !== undefined || job.aborted !== job.shown.aborted;
+      job.turning = job.endUnsure || final !== undefined || job.aborted !== job.shown.aborted;
       sent.push({
         job,
         version: job.version,
@@ -370,6 +370,8 @@
         this.backoff.failed();
         for (const s of batch.sent) {
           if (s.job.revision === 0) s.job.doubtful = true;
+          // It may still be carried out, and others read its end in the store, until a later write is.
+          if (s.job.turning) s.job.endUnsure = true;
           // Whoever waits is told now: the outcome may take long to find out.
           this.settleWaiters(s.job.id, s.version, false);
         }
@@ -389,7 +391,7 @@
   private retry(s: Sent): void {
     const { job } = s;
     job.inFlight = false;
-    job.turning = false;
+    job.turning = job.endUnsure;
     // A creation that surely was not carried out is the user's to repeat.
     if (job.revision === 0 && !job.doubtful && !this.waiters.has(job.id)) {
       this.unmind(job);
@@ -405,6 +407,7 @@
     const { job } = s;
     job.inFlight = false;
     job.turning = false;
+    job.endUnsure = false;
     job.doubtful = false;
     job.revision = revision;
     job.committed = Math.max(job.committed, s.version);
--- a/src/net/http.ts
+++ b/src/net/http.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import type { Socket } from 'node:net';
 import type { Readable } from 'node:stream';
 import type { DurationMs, Endpoint } from '../units/index.js';
 import { CONTENT_TYPE, decode, encode } from '../wire/index.js';
@@ -98,14 +99,15 @@
    * been idle for longest gives way.
    */
   private roomFor(endpoint: Endpoint): boolean {
-    const idle = Object.entries(this.workers.freeSockets);
-    const open = idle.reduce((n, [, sockets]) => n + (sockets?.length ?? 0), this.underWay);
-    if (open < this.total) return true;
-    if (idle.some(([name]) => name.startsWith(`${endpoint}:`))) return true;
+    const idle: { name: string; socket: Socket }[] = [];
+    for (const [name, sockets] of Object.entries(this.workers.freeSockets)) {
+      for (const socket of sockets ?? []) if (!socket.destroyed) idle.push({ name, socket });
+    }
+    if (this.underWay + idle.length < this.total) return true;
+    if (idle.some(({ name }) => name.startsWith(`${endpoint}:`))) return true;
     // Hosts come in the order in which they fell idle.
-    const oldest = idle[0]?.[1]?.[0];
-    oldest?.destroy();
-    return oldest !== undefined;
+    idle[0]?.socket.destroy();
+    return idle.length > 0;
   }
 
   send(request: Request): Promise<Outcome> {
--- a/src/store/budget.ts
+++ b/src/store/budget.ts
@@ -41,6 +41,12 @@
     return ms(missing <= 0 ? 0 : Math.ceil((missing / this.rate) * 1000) + 1);
   }
 
+  /** About when `n` will have passed, one after the other: more than a burst takes longer than one. */
+  backlog(n: number): DurationMs {
+    this.refill();
+    return ms(Math.max(0, ((n - this.tokens) / this.rate) * 1000));
+  }
+
   level(): { tokens: number; burst: number } {
     this.refill();
     return { tokens: this.tokens, burst: this.burst };
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -133,7 +133,7 @@
   }
 
   private expectedWait(): DurationMs {
-    return this.requests.wait(this.line.length + 1);
+    return this.requests.backlog(this.line.length + 1);
   }
 
   /** First come, first served, but what waits for writes holds up nobody who only reads. */
@@ -184,6 +184,11 @@
     return outcome;
   }
 
+  /** About when `n` more writes will have left, in as many transactions as they take. */
+  writeBacklog(n: number): DurationMs {
+    return this.writes.backlog(n);
+  }
+
   /** How long a transaction of `n` writes would have to wait for its turn. */
   writeWait(n: number): DurationMs {
     return ms(Math.max(this.writes.wait(n), this.requests.wait(1)));
--- a/test/sim/fleet.test.ts
+++ b/test/sim/fleet.test.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { Endpoint, ms } from '../../src/units/index.js';
+import { ProcessClock } from '../standin/clock.js';
 import { World } from '../standin/world.js';
 
 /** A world whose machines all come up, so that a test finds the fleet that it counts on. */
@@ -102,3 +104,95 @@
   assert.equal(world.starts - before, 1, 'what was finished is not run again');
   assert.deepEqual(world.broken, []);
 });
+
+void test('a machine whose reports arrive while answers do not: its tasks go elsewhere, and then it goes', async () => {
+  const { world, fleet } = await working(51);
+  const deaf = fleet[0] ?? '';
+  // Alone, the leader hears it often enough not to miss it: each try at a dead node ends at once.
+  const leader = world.leaderNode();
+  for (const n of [0, 1, 2]) if (n !== leader) world.killNode(n);
+  world.deafen(deaf, true);
+  const began = world.time.now;
+  for (let i = 0; i < 6; i++) world.submit({ entries: 2, vcpus: 1 }, 4000);
+  await world.run(55_000);
+  assert.deepEqual(
+    world.unfinished().filter((u) => !u.startsWith('run-000001')),
+    [],
+    `after ${world.time.now - began} ms`,
+  );
+  assert.ok(!world.workers.has(deaf));
+  await world.run(340_000);
+  assert.deepEqual(world.unfinished(), []);
+  assert.deepEqual(world.broken, []);
+});
+
+void test('a late copy of the report of a machine that is long gone does not hold work up', async () => {
+  const world = sure(52);
+  await world.run(20_000);
+  const leader = world.leaderNode() ?? 0;
+  const copy = {
+    box: 'vm-000000',
+    addr: '10.9.9.9:9000',
+    build: 'small',
+    hall: 'a',
+    loaners: false,
+    shift: 3,
+    tally: 400,
+    baton: 0,
+    recall_s: null,
+    entries: [],
+  };
+  const client = world.network.client('late', 'a', new ProcessClock(world.time, 0, 0));
+  const endpoint = Endpoint(`10.0.0.${leader + 1}:8080`);
+  void client.send({
+    endpoint,
+    method: 'POST',
+    path: '/agent/beat',
+    body: copy,
+    timeout: ms(4000),
+  });
+  await world.run(200);
+  const before = world.starts;
+  world.submit({ entries: 3, vcpus: 1, loaners: false }, 4000);
+  await world.run(18_000);
+  assert.equal(world.starts - before, 3);
+  assert.deepEqual(world.broken, []);
+});
+
+void test('a machine that is back at once and counts from the start again is of use again', async () => {
+  const { world, fleet } = await working(53);
+  for (const id of fleet) world.restartWorker(id);
+  await world.run(20_000);
+  assert.deepEqual(
+    fleet.filter((id) => !world.workers.has(id)),
+    [],
+    'none is given up as silent',
+  );
+  await world.run(260_000);
+  assert.deepEqual(world.unfinished(), []);
+  assert.deepEqual(world.broken, []);
+});
+
+void test('what others may read in the store of an end is never answered older, to any question', async () => {
+  // While the write's answer is awaited, and after it was given up and may yet be carried out.
+  for (const wait of [400, 2300]) {
+    const world = sure(61);
+    await world.run(3000);
+    const id = world.submit({ entries: 1 }, 300_000);
+    await world.run(25_000);
+    const endpoint = Endpoint(`10.0.0.${(world.leaderNode() ?? 0) + 1}:8080`);
+    const client = world.network.client('user', '.region', new ProcessClock(world.time, 0, 0));
+    const ask = (path: string, body?: unknown) =>
+      client.send({ endpoint, method: 'POST', path, body, timeout: ms(5000) });
+    world.network.losesAnswer = (path) => path === '/multi';
+    void ask(`/v1/jobs/${id}/abort`);
+    await world.run(wait);
+    const again = ask('/v1/jobs', world.jobs.get(id)?.spec);
+    await world.run(4000);
+    world.network.losesAnswer = undefined;
+    const o = await again;
+    assert.ok(o.kind === 'answer');
+    const status = (o.body as { status?: string } | undefined)?.status;
+    assert.ok(o.status === 503 || status === 'aborted', `${o.status} ${status ?? ''}`);
+  }
+});
--- a/test/sim/rules.test.ts
+++ b/test/sim/rules.test.ts
@@ -70,6 +70,27 @@
   }
 });
 
+void test('the leader stands still at every step, for a moment or for several leases', async () => {
+  for (let step = 1; step <= 45; step += 1) {
+    const world = new World({ seed: 400 + step });
+    await world.run(2000);
+    let left = step;
+    world.network.onSend = (from) => {
+      const leader = world.leaderNode();
+      if (leader === undefined || from !== `node-${leader}` || left <= 0) return;
+      left--;
+      if (left > 0) return;
+      world.freezeNode(leader, true);
+      const still = [200, 3000, 5000, 13_000][step % 4] ?? 0;
+      world.time.after(still, () => world.freezeNode(leader, false));
+    };
+    world.submit({ entries: 3 }, 3000);
+    world.submit({ entries: 2, vcpus: 4 }, 6000, step % 2 === 0 ? 9000 : undefined);
+    await world.run(30_000);
+    await settle(world, `still at step ${step}`);
+  }
+});
+
 void test('days on which everything goes wrong', async () => {
   for (let seed = 1001; seed <= 1025; seed++) await settle(await badDay(seed), `seed ${seed}`);
 });
--- a/test/standin/clock.ts
+++ b/test/standin/clock.ts
@@ -72,6 +72,7 @@
 /** A process's own clocks: drifting, off, and silent once the process is killed. */
 export class ProcessClock implements Clock {
   dead = false;
+  private held: (() => void)[] | undefined;
 
   constructor(
     private readonly time: VirtualTime,
@@ -88,8 +89,23 @@
   }
 
   after(delay: DurationMs, run: () => void): Timer {
-    return this.time.after(delay / (1 + this.drift), () => {
-      if (!this.dead) run();
-    });
+    return this.time.after(delay / (1 + this.drift), () => this.reach(run));
+  }
+
+  /** Something comes up for the process: nothing once it is dead, later while it stands still. */
+  reach(run: () => void): void {
+    if (this.dead) return;
+    if (this.held) this.held.push(run);
+    else run();
+  }
+
+  /** The process stands still while its clocks run on. */
+  freeze(on: boolean): void {
+    if (on) this.held ??= [];
+    else {
+      const held = this.held ?? [];
+      this.held = undefined;
+      for (const run of held) this.time.after(0, () => this.reach(run));
+    }
   }
 }
--- a/test/standin/day.ts
+++ b/test/standin/day.ts
@@ -8,6 +8,7 @@
   world.cloud.out = false;
   for (const n of [0, 1, 2]) {
     world.state.outageFor(`node-${n}`, false);
+    world.freezeNode(n, false);
     world.startNode(n);
   }
   for (const [a, b] of [
@@ -67,7 +68,7 @@
       ['a', 'c'],
     ] as const);
     const ids = [...world.workers.keys()];
-    switch (Math.floor(r() * 22)) {
+    switch (Math.floor(r() * 24)) {
       case 0:
       case 1: {
         const victim = r() < 0.6 ? (world.leaderNode() ?? n) : n;
@@ -134,6 +135,13 @@
           later(1200 + r() * 500, () => world.startNode(k));
         }
         break;
+      case 17:
+      case 18: {
+        const still = r() < 0.7 ? (world.leaderNode() ?? n) : n;
+        world.freezeNode(still, true);
+        later(200 + r() * 15_000, () => world.freezeNode(still, false));
+        break;
+      }
       case 11:
         for (const id of ids) if (r() < 0.4) world.cloud.end(id);
         break;
--- a/test/standin/network.ts
+++ b/test/standin/network.ts
@@ -72,6 +72,9 @@
     if (path === undefined) this.release();
   }
 
+  /** Answers to requests on which this says so get lost, though they were carried out. */
+  losesAnswer: ((path: string) => boolean) | undefined;
+
   /** Called before each request leaves; a test may kill the sender here. */
   onSend: ((from: string, to: string, path: string) => void) | undefined;
 
@@ -132,9 +135,7 @@
         new Promise((resolve) => {
           this.onSend?.(from, request.endpoint, request.path);
           if (clock.dead) return;
-          this.send(from, zone, request, (o) => {
-            if (!clock.dead) resolve(o);
-          });
+          this.send(from, zone, request, (o) => clock.reach(() => resolve(o)));
         }),
     };
   }
@@ -176,6 +177,7 @@
       }
       void answered.then((a) => {
         if (this.random() < this.loss || this.deaf.has(from)) return;
+        if (this.losesAnswer?.(request.path)) return;
         const answer = through(a.body);
         this.time.after(1 + this.random() * 4, () => {
           // The way back is cut as well: the sender has long given up when it is open again.
--- a/test/standin/worker.ts
+++ b/test/standin/worker.ts
@@ -80,6 +80,16 @@
     this.dropAll();
   }
 
+  restart(): void {
+    this.dropAll();
+    this.images.clear();
+    this.shift = 1;
+    this.tally = 0;
+    this.baton = 0;
+    this.leaseFrom = this.clock.steady();
+    this.wanted = true;
+  }
+
   private dropAll(): void {
     for (const h of this.held.values()) {
       if (h.status === 'running') this.world.left(this.machine.id, h.entry);
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -210,6 +210,16 @@
     this.network.detach(s.cluster);
   }
 
+  /** It stands still, with what it has in hand, while its clocks run on. */
+  freezeNode(n: number, on: boolean): void {
+    const p = this.nodes.get(n);
+    if (!p) return;
+    p.clock.freeze(on);
+    const s = parseSettings(settingsFile(n, this.zones));
+    this.network.hang(s.api, on);
+    this.network.hang(s.cluster, on);
+  }
+
   leaderNode(): number | undefined {
     for (const [n, p] of this.nodes) {
       if (p.controller.election.authority() !== undefined) return n;
@@ -256,6 +266,11 @@
     this.network.hang(w.machine.addr, hung);
   }
 
+  /** Gone and back at once, with nothing of what it knew. */
+  restartWorker(id: string): void {
+    this.workers.get(id)?.worker.restart();
+  }
+
   /** Its reports arrive, but answers and commands don't reach it. */
   deafen(id: string, on: boolean): void {
     const w = this.workers.get(id);
--- a/test/unit/fleet.test.ts
+++ b/test/unit/fleet.test.ts
@@ -45,6 +45,14 @@
   assert.equal(m.take(report({ shift: 4, tally: 1 }), SteadyMs(9)), true);
 });
 
+void test('a notice that newer reports do not show was a late copy of another time', () => {
+  const m = machine();
+  m.take(report({ tally: 5, recall_s: 9 }), SteadyMs(1));
+  assert.ok(m.draining);
+  m.take(report({ tally: 6 }), SteadyMs(2));
+  assert.equal(m.draining, false);
+});
+
 void test('a lease counts as expired only when it has on every clock', () => {
   assert.ok(leaseEnd(SteadyMs(0), seconds(24)) > 24_000 * 1.0005);
 });
