--- a/src/capacity/keeper.ts
+++ b/src/capacity/keeper.ts
@@ -349,8 +349,11 @@
       const zone = m.place.hall;
       total.set(zone, (total.get(zone) ?? 0) + 1);
       if (m.missedLists >= 1 && quiet > report * VANISHED_REPORTS) out.push(m);
+      // Not heard yet under this epoch: hundreds may be on their way back to us at once, and those that
+      // get through first say nothing of the others. In the end its lease tells.
+      else if (m.lastHeard === undefined && quiet <= report * CUT_REPORTS) continue;
       else if (quiet > report * SILENT_REPORTS) silent.push({ m, quiet });
-      else if (m.lastHeard !== undefined) heard.set(zone, (heard.get(zone) ?? 0) + 1);
+      else heard.set(zone, (heard.get(zone) ?? 0) + 1);
     }
     for (const { m, quiet } of silent) {
       const zone = m.place.hall;
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -26,6 +26,8 @@
 import { Reports } from './reports.js';
 
 const TICK = ms(500);
+/** So much later than it was due, a tick shows that this process does not keep up. */
+const BEHIND = seconds(1);
 const HINTS_EVERY = seconds(4);
 const FLEET_EVERY = seconds(10);
 const STORE_TIMEOUT = ms(2000);
@@ -54,6 +56,7 @@
   private fleetTold: SteadyMs;
   private ruled = true;
   private listening: SteadyMs;
+  private ticked: SteadyMs;
   private closed = false;
   private ticker: Timer | undefined;
 
@@ -64,6 +67,7 @@
     const { settings, operator, catalog, clock, random, log } = deps;
     const began = clock.steady();
     this.listening = began;
+    this.ticked = began;
     this.hintsSent = began;
     this.fleetTold = began;
     this.ledger = new Ledger(deps.store, epoch, settings.state.txnOps, clock, random, log, {
@@ -153,10 +157,13 @@
 
   private tick(): void {
     if (this.closed) return;
+    const now = this.deps.clock.steady();
     try {
-      // While authority has lapsed nobody is heard, and nothing follows from that.
+      // While authority has lapsed nobody is heard, and nothing follows from that. Nor does it while
+      // this process stands still or is far behind: what was reported may still wait to be read.
       const ruling = this.deps.authority() === this.epoch;
-      if (ruling && !this.ruled) this.listening = this.deps.clock.steady();
+      const behind = since(this.ticked, now) > TICK + BEHIND;
+      if (ruling && (!this.ruled || behind)) this.listening = now;
       this.ruled = ruling;
       this.expire();
       if (ruling) {
@@ -170,6 +177,7 @@
     } catch (e) {
       this.deps.log.error({ err: e }, 'tick failed');
     }
+    this.ticked = this.deps.clock.steady();
     this.ticker = this.deps.clock.after(TICK, () => this.tick());
   }
 
