--- a/src/leader/dispatch.ts
+++ b/src/leader/dispatch.ts
@@ -27,8 +27,11 @@
 import type { Orders } from './orders.js';
 import { UrgentWork } from './urgent.js';
 
-/** What happens within this time is placed together. */
-const GATHER = ms(5);
+/** What happens within this time is placed together; longer, the longer that placing takes. */
+const GATHER_LEAST = ms(5);
+const GATHER_MOST = ms(150);
+/** Placing takes no more than about this share of the time, whatever the size of the fleet. */
+const PLACING_SHARE = 0.2;
 /** The most tasks that one placing round commits, so that no transaction grows too large. */
 const MOST_PER_ROUND = 400;
 /** How many tasks are stopped at a time to make room for urgent ones. */
@@ -38,6 +41,7 @@
 export class Dispatch {
   readonly urgent = new UrgentWork();
   private gathering = false;
+  private gather = GATHER_LEAST;
   private closed = false;
   /** Set once the term knows all live jobs. */
   ready = false;
@@ -69,14 +73,17 @@
   wake(): void {
     if (!this.ready || this.gathering || this.closed) return;
     this.gathering = true;
-    this.deps.clock.after(GATHER, () => {
+    this.deps.clock.after(this.gather, () => {
       this.gathering = false;
       if (this.closed) return;
+      const began = this.deps.clock.steady();
       try {
         this.place();
       } catch (e) {
         this.deps.log.error({ err: e }, 'placing failed');
       }
+      const took = since(began, this.deps.clock.steady());
+      this.gather = ms(Math.min(GATHER_MOST, Math.max(GATHER_LEAST, took / PLACING_SHARE)));
     });
   }
 
--- a/src/net/http.ts
+++ b/src/net/http.ts
@@ -39,6 +39,7 @@
   return new Promise((resolve, reject) => {
     const parts: Buffer[] = [];
     let size = 0;
+    const closed = (): void => reject(new Error('closed before its end'));
     from.on('data', (chunk: Buffer) => {
       size += chunk.length;
       if (size > 16 * limit) from.destroy(new RangeError('body far too large'));
@@ -46,11 +47,13 @@
       else parts.push(chunk);
     });
     from.on('end', () => {
+      // The closing that follows is no news, and an error made for nothing costs more than the body.
+      from.off('close', closed);
       if (size > limit) resolve(undefined);
       else resolve(parts.length === 1 ? parts[0] : Buffer.concat(parts));
     });
     from.on('error', reject);
-    from.on('close', () => reject(new Error('closed before its end')));
+    from.on('close', closed);
   });
 }
 
--- a/src/placer/placer.ts
+++ b/src/placer/placer.ts
@@ -74,7 +74,8 @@
   cpus: number;
   gpus: number;
   ramGb: number;
-  readonly coming: Set<string>;
+  /** Images under way to it: the host's own, until one is added. */
+  coming: ReadonlySet<string>;
   claimed: boolean;
 }
 
@@ -141,15 +142,16 @@
         kinds.set(key, kind);
       }
       const { cpus: free, gpus, ramGb } = host.free;
-      const coming = new Set(host.fetching);
+      const coming = host.fetching;
       kind.slots.push({ host, kind, cpus: free, gpus, ramGb, coming, claimed: false });
     }
     this.kinds = [...kinds.values()];
     this.cpus = cpus;
     this.smallest = smallest;
+    const small = this.kinds.filter((k) => k.total.cpus === smallest);
     for (const image of reserve.keys()) {
       let free = 0;
-      for (const k of this.kinds) for (const s of k.slots) if (this.keeps(s, image)) free += s.cpus;
+      for (const k of small) for (const s of k.slots) if (s.host.holds(image)) free += s.cpus;
       this.headroom.set(image, free);
     }
   }
@@ -260,7 +262,9 @@
     if (!slot) break;
     next--;
     room.take(slot, want, 1);
-    if (!slot.host.holds(want.image)) slot.coming.add(want.image);
+    if (!slot.host.holds(want.image) && !slot.coming.has(want.image)) {
+      slot.coming = new Set([...slot.coming, want.image]);
+    }
     if (team) {
       team.cpus -= want.size.cpus;
       team.gpus -= want.size.gpus;
@@ -273,7 +277,9 @@
     // A part of a gang would only hold room that others could use.
     for (const { slot } of out) {
       room.take(slot, want, -1);
-      if (!slot.host.fetching.has(want.image)) slot.coming.delete(want.image);
+      if (!slot.host.fetching.has(want.image)) {
+        slot.coming = new Set([...slot.coming].filter((i) => i !== want.image));
+      }
       if (!team) continue;
       team.cpus += want.size.cpus;
       team.gpus += want.size.gpus;
--- a/test/standin/load.ts
+++ b/test/standin/load.ts
@@ -25,6 +25,9 @@
   .opts<{ main: string[]; machines: number; warm: number; seconds: number; node: string }>();
 
 const DIR = 'target/load';
+/** How long the controller is away, and how long its machines may take to come back. */
+const AWAY = 5000;
+const MOST_BACK = 30_000;
 const flavor = (name: string, vcpus: number, ram: number, hall: string): Flavor => ({
   name,
   vcpus,
@@ -90,11 +93,14 @@
   });
   mkdirSync(DIR, { recursive: true });
   writeFileSync(`${DIR}/node-${turn}.json`, JSON.stringify(loopback.settings()));
-  const child = spawn(
-    process.execPath,
-    [...options.node.split(' ').filter(Boolean), main, '--config', `${DIR}/node-${turn}.json`],
-    { stdio: ['ignore', 'ignore', 'inherit'], env: { ...process.env, LOG_LEVEL: 'error' } },
-  );
+  const start = () =>
+    spawn(
+      process.execPath,
+      [...options.node.split(' ').filter(Boolean), main, '--config', `${DIR}/node-${turn}.json`],
+      { stdio: ['ignore', 'ignore', 'inherit'], env: { ...process.env, LOG_LEVEL: 'error' } },
+    );
+  let child = start();
+  let over = false;
   // Processor time, in hundredths of a second, as the system counts it.
   const ticks = (): number => {
     const stat = readFileSync(`/proc/${child.pid}/stat`, 'utf8');
@@ -111,12 +117,12 @@
     const body = spec({ ...change, bundle, size_gb: 1 });
     specs.set(id, { spec: body, runMs: kind.runMs });
     const path = '/v1/jobs';
-    while (child.exitCode === null) {
+    while (!over) {
       const o = await client.send({ endpoint, method: 'POST', path, body, timeout: ms(5000) });
       if (o.kind === 'answer' && o.status < 300) break;
       await sleep(systemClock, ms(1000));
     }
-    while (child.exitCode === null) {
+    while (!over) {
       await sleep(systemClock, ms(5000));
       const poll = { endpoint, method: 'GET' as const, path: `${path}/${id}`, timeout: ms(2000) };
       const o = await client.send(poll);
@@ -127,7 +133,7 @@
   const feeding = KINDS.map(async (kind) => {
     const perJob = (kind.tasks * (kind.change.vcpus ?? 1) * kind.runMs) / 1000;
     const every = (1000 * perJob) / (cpus * kind.share * 0.8);
-    while (child.exitCode === null && child.signalCode === null) {
+    while (!over) {
       void submit(kind);
       await sleep(systemClock, ms(every * (0.5 + uniformFloat64(random))));
     }
@@ -144,6 +150,23 @@
     `${main}: ${loopback.running.size} machines, ${heard.toFixed(0)} reports/s, ${begun.toFixed(1)} starts/s, ` +
       `${spent.toFixed(0)} ms of processor time a second`,
   );
+  // The leader changes, and all machines come back at once: what that costs until each is answered.
+  child.kill('SIGKILL');
+  await sleep(systemClock, ms(AWAY));
+  const renewed = new Map([...loopback.running].map(([id, r]) => [id, r.worker.renewed]));
+  const back = systemClock.steady();
+  child = start();
+  const answered = (): boolean =>
+    [...loopback.running].every(([id, r]) => r.worker.renewed > (renewed.get(id) ?? 0));
+  while (!answered() && systemClock.steady() - back < MOST_BACK) {
+    await sleep(systemClock, ms(20));
+  }
+  const took = (systemClock.steady() - back) / 1000;
+  console.log(
+    `${main}: after a restart all are answered within ${took.toFixed(2)} s, ` +
+      `for ${ticks() * 10} ms of processor time`,
+  );
+  over = true;
   child.kill('SIGKILL');
   for (const r of loopback.running.values()) r.worker.kill();
   await Promise.all(feeding);
--- a/test/standin/worker.ts
+++ b/test/standin/worker.ts
@@ -48,6 +48,8 @@
   dead = false;
   /** Reports sent so far. */
   sent = 0;
+  /** Answers taken so far that renewed its lease. */
+  renewed = 0;
   recallAt: number | undefined;
 
   constructor(
@@ -174,6 +176,7 @@
       if (shift !== this.shift || reply.baton === undefined || reply.baton < this.baton) return;
       this.see(reply.baton);
       this.leaseFrom = sent;
+      this.renewed++;
       for (const order of reply.orders ?? []) this.obey(order);
       return;
     }
