--- a/test/sim/fleet.test.ts
+++ b/test/sim/fleet.test.ts
@@ -35,6 +35,21 @@
   assert.deepEqual(world.broken, []);
 });
 
+void test('a machine that comes back late after a takeover is not given up because others were faster', async () => {
+  const { world, fleet } = await working(54);
+  const leader = world.leaderNode() ?? 0;
+  const slow = fleet[0] ?? '';
+  world.hangWorker(slow, true);
+  world.killNode(leader);
+  world.time.after(5000, () => world.startNode(leader));
+  // Longer than a machine that was heard before may be silent, and within its lease.
+  await world.run(17_000);
+  world.hangWorker(slow, false);
+  await world.run(30_000);
+  assert.ok(world.workers.has(slow));
+  assert.deepEqual(world.broken, []);
+});
+
 void test('an outage of the state service keeps the fleet: unanswered reports are no silence', async () => {
   const { world, fleet } = await working(12);
   world.state.outage(true);
