--- a/src/placer/placer.ts
+++ b/src/placer/placer.ts
@@ -318,12 +318,12 @@
 
 /**
  * Among equals: the cheaper kind, so that dear machines empty and can be given back; the smaller
- * type, so that the large ones stay whole for large tasks; then the fullest, so that others empty.
+ * type, so that the large ones stay whole for large tasks; then the freest.
  */
 function better(a: Slot, b: Slot): number {
   const dearer = a.host.rate / b.host.rate;
   if (dearer > DEARER || dearer < 1 / DEARER) return dearer - 1;
   if (a.host.total.cpus !== b.host.total.cpus) return a.host.total.cpus - b.host.total.cpus;
-  if (a.cpus !== b.cpus) return a.cpus - b.cpus;
+  if (a.cpus !== b.cpus) return b.cpus - a.cpus;
   return a.host.id < b.host.id ? -1 : 1;
 }
