--- a/test/sim/fleet.test.ts
+++ b/test/sim/fleet.test.ts
@@ -214,3 +214,27 @@
     assert.ok(o.status === 503 || status === 'aborted', `${o.status} ${status ?? ''}`);
   }
 });
+
+void test('over a thousand machines: all come back to a new leader, and none is given up', async () => {
+  const world = new World({ seed: 71, cpusMax: 0 });
+  world.cloud.neverUp = 0;
+  world.provide(1050);
+  // All have been kept busy for longer than the shortest time a machine is paid for.
+  for (let i = 0; i < 20; i++) world.submit({ entries: 100, vcpus: 4, expected_s: 60 }, 60_000);
+  await world.run(24_000);
+  const fleet = [...world.workers.keys()];
+  assert.ok(fleet.length >= 1050);
+  const busy = world.starts;
+  assert.ok(busy >= 1900, `${busy} started`);
+  for (const n of [0, 1, 2]) world.killNode(n);
+  for (const n of [0, 1, 2]) world.time.after(5000, () => world.startNode(n));
+  await world.run(22_000);
+  assert.deepEqual(
+    fleet.filter((id) => !world.workers.has(id)),
+    [],
+  );
+  assert.ok(world.starts <= 2000 * 1.01, 'what ran goes on and is not started again');
+  await world.run(60_000);
+  assert.deepEqual(world.unfinished(), []);
+  assert.deepEqual(world.broken, []);
+});
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -63,6 +63,9 @@
   connection: { n: number; process: Process } | undefined;
 }
 
+/** The limit of the one team, unless a world sets another. */
+const TEAM_CPUS = 24;
+
 /** Questions about a job go unanswered for at most so long, while others are answered, and at all. */
 const UNANSWERED_AMONG_OTHERS = 90_000;
 const UNANSWERED_IN_CALM = 75_000;
@@ -71,6 +74,8 @@
   readonly seed: number;
   readonly zones?: readonly string[];
   readonly loss?: number;
+  /** The most processors of its one team; 0: no limit. */
+  readonly cpusMax?: number;
 }
 
 /** Three whole controllers among stand-ins, on a virtual clock, with the rules checked as they run. */
@@ -88,6 +93,7 @@
   private readonly where = new Map<string, Set<string>>();
   private readonly settings: Settings;
   private readonly zones: readonly string[];
+  private readonly cpusMax: number;
   private readonly log: Logger;
   private jobCounter = 0;
   private readonly balancer: Balancer;
@@ -100,7 +106,8 @@
     const generator = xoroshiro128plus(options.seed);
     this.random = () => uniformFloat64(generator);
     this.zones = options.zones ?? ['a', 'b', 'c'];
-    this.settings = parseSettings(settingsFile(0, this.zones));
+    this.cpusMax = options.cpusMax ?? TEAM_CPUS;
+    this.settings = this.settingsOf(0);
     // What goes wrong inside must not stay unseen behind a passing rule check.
     this.log = pino(
       { level: process.env['SIM_LOG'] ?? 'error' },
@@ -136,6 +143,27 @@
     this.watchAnswers();
   }
 
+  private settingsOf(n: number): Settings {
+    const file = settingsFile(n, this.zones);
+    const teams = file.params.teams.map((t) => ({ ...t, cpus_max: this.cpusMax }));
+    return parseSettings({ ...file, params: { ...file.params, teams } });
+  }
+
+  /** Machines that are there before anything is asked for. */
+  provide(count: number): void {
+    this.cloud.capacity = count;
+    for (let left = count; left > 0; left -= 50) {
+      const zone = this.zones[(left / 50) % this.zones.length] ?? '';
+      this.cloud.handle('POST', '/machines', {
+        hire: `given-${left}`,
+        build: flavors[0]?.name,
+        hall: zone,
+        loaners: true,
+        how_many: Math.min(50, left),
+      });
+    }
+  }
+
   /** From now on nothing goes wrong any more. */
   calm(): void {
     this.calmSince = this.time.now;
@@ -145,7 +173,7 @@
 
   startNode(n: number): void {
     if (this.nodes.has(n)) return;
-    const settings = parseSettings(settingsFile(n, this.zones));
+    const settings = this.settingsOf(n);
     const clock = new ProcessClock(
       this.time,
       (this.random() - 0.5) * 0.0005,
