--- a/src/placer/placer.ts
+++ b/src/placer/placer.ts
@@ -94,8 +94,6 @@
 const DEARER = 1.8;
 /** Claimed machines stand partly empty: of those that would suit, no more than this share. */
 const MOST_CLAIMED = 0.5;
-/** An urgent task that finds a holder of its image among what nobody is bound to goes there first. */
-const HOLDER_ELSEWHERE = 0.5;
 /** A job that may use less than this share of the fleet's processors is bound to what it may use. */
 const BOUND = 0.75;
 
@@ -234,9 +232,8 @@
 ): Assignment[] {
   const candidates: { slot: Slot; score: number }[] = [];
   for (const kind of suited) {
-    // What others can't do without is taken last by those who can; by urgent tasks, before they wait
-    // for an image to be fetched elsewhere.
-    const tier = kind.contested && !bound ? (want.urgent ? HOLDER_ELSEWHERE : 1000) : 0;
+    // What others can't do without is taken last by those who can.
+    const tier = kind.contested && !bound && !want.urgent ? 1000 : 0;
     for (const slot of kind.slots) {
       if (slot.claimed || !fits(want.size, slot) || want.avoid.has(slot.host.id)) continue;
       candidates.push({ slot, score: tier + delay(want, slot) });
