--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -11,7 +11,7 @@
   readonly idleBoots: number;
 }
 
-export const DEFAULTS = { leaseS: 6, renewS: 1.5, idleBoots: 1.5 };
+export const DEFAULTS = { leaseS: 4, renewS: 1.2, idleBoots: 1.5 };
 
 export const defaultOperator: OperatorSettings = {
   lease: seconds(DEFAULTS.leaseS),
