Watches of the leader key start where the store is, not at the key's own revision

The store keeps 10,000 changes; once the leader key's revision was older, each follower's watch was refused at once with 410 and asked again, as fast as its share of the budget allowed, which users' questions then lacked. Test: a store that keeps ten changes.

--- a/src/leader/election.ts
+++ b/src/leader/election.ts
@@ -152,12 +152,15 @@
   }
 
   private async seek(): Promise<void> {
-    const read = await this.store.get(LEADER_KEY, CALL_TIMEOUT, { urgent: true });
-    if (read.kind === 'failed') {
+    // Listed rather than read, since a list says at which revision: the key's own may be older than
+    // what the store keeps of its history, and a watch from there would be refused at once, for ever.
+    const listed = await this.store.list(LEADER_KEY, CALL_TIMEOUT, true);
+    if (!listed) {
       await sleep(this.clock, ms(RETRY * (0.5 + this.random())));
       return;
     }
-    if (read.kind === 'absent') {
+    const read = listed.items.find((i) => i.key === LEADER_KEY);
+    if (!read) {
       this.holder = undefined;
       this.store.setRole('leaderless');
       await this.take(Revision(0));
@@ -167,12 +170,14 @@
     if (holder.success && holder.data.node === this.node) {
       if (holder.data.run === this.run) {
         // A transaction of ours whose answer was lost: the key is ours, if its lease still stands.
+        const own = await this.store.get(LEADER_KEY, CALL_TIMEOUT, { urgent: true });
+        const lease = own.kind === 'found' && own.stamp === read.stamp ? own.tenure : undefined;
         const sent = this.clock.steady();
         if (
-          read.tenure !== undefined &&
-          (await this.store.touchLease(read.tenure, CALL_TIMEOUT)) === 'renewed'
+          lease !== undefined &&
+          (await this.store.touchLease(lease, CALL_TIMEOUT)) === 'renewed'
         ) {
-          this.begin(Epoch(read.stamp), read.tenure, this.horizon(sent));
+          this.begin(Epoch(read.stamp), lease, this.horizon(sent));
         } else await sleep(this.clock, RETRY);
         return;
       }
@@ -187,9 +192,13 @@
     this.store.setRole('following');
     // A watch on a connection that leads nowhere any more would keep us from noticing a change.
     const nudged = new Promise<'nudged'>((resolve) => (this.nudge = () => resolve('nudged')));
-    const change = await Promise.race([this.store.follow(LEADER_KEY, read.stamp, WATCH), nudged]);
+    const change = await Promise.race([
+      this.store.follow(LEADER_KEY, listed.revision, WATCH),
+      nudged,
+    ]);
     this.nudge = undefined;
-    if (change === undefined) await sleep(this.clock, ms(RETRY * (0.5 + this.random())));
+    if (change === undefined || change === 'stale')
+      await sleep(this.clock, ms(RETRY * (0.5 + this.random())));
   }
 
   /**
--- a/test/sim/fleet.test.ts
+++ b/test/sim/fleet.test.ts
@@ -238,3 +238,16 @@
   assert.deepEqual(world.unfinished(), []);
   assert.deepEqual(world.broken, []);
 });
+
+void test('a leader of long standing: its key is older than what the store keeps, and watches stay few', async () => {
+  const world = sure(81);
+  world.state.keeps = 10;
+  await world.run(3000);
+  for (let i = 0; i < 10; i++) world.submit({ entries: 2, vcpus: 1 }, 3000);
+  await world.run(30_000);
+  const before = world.state.watched;
+  await world.run(30_000);
+  // Each of three nodes waits for ten seconds at a time, the leader for notices.
+  assert.ok(world.state.watched - before <= 15, `${world.state.watched - before} watches`);
+  assert.deepEqual(world.unfinished(), []);
+});
--- a/test/standin/state.ts
+++ b/test/standin/state.ts
@@ -57,6 +57,12 @@
   }
 
   /** While it is out nothing is carried out and no lease ends; then all have their full time. */
+  /** How many changes it keeps for watches, and from which revision on it still knows them all. */
+  keeps = 10_000;
+  private oldest = 0;
+  /** Watches asked for so far. */
+  watched = 0;
+
   outage(on: boolean): void {
     this.out = on;
     if (!on) for (const l of this.leases.values()) l.ends = this.time.now + l.ttl;
@@ -179,11 +185,17 @@
         this.log.push({ delete: w.delete, stamp: this.revision });
       }
     }
-    if (this.log.length > 10_000) this.log = this.log.slice(-5000);
+    this.forget();
     this.wake();
     return { status: 200, body: { ledger_rev: this.revision } };
   }
 
+  private forget(): void {
+    if (this.log.length <= this.keeps) return;
+    this.log = this.log.slice(-this.keeps);
+    this.oldest = (this.log[0]?.stamp ?? 1) - 1;
+  }
+
   private list(q: URLSearchParams): Answered {
     const prefix = q.get('starts') ?? '';
     const from = q.get('from') ?? '';
@@ -202,6 +214,8 @@
   private follow(q: URLSearchParams): Answered | Promise<Answered> {
     const prefix = q.get('starts') ?? '';
     const from = Number(q.get('from') ?? 0);
+    this.watched++;
+    if (from < this.oldest) return { status: 410, body: {} };
     const changes = this.changes(prefix, from);
     if (changes.length > 0) {
       return { status: 200, body: { ledger_rev: this.revision, log: changes } };
