--- a/test/sim/rules.test.ts
+++ b/test/sim/rules.test.ts
@@ -3,6 +3,17 @@
 import { badDay, settle } from '../standin/day.js';
 import { World } from '../standin/world.js';
 
+/** Does something to the leader as its nth message leaves. */
+function atMessage(world: World, n: number, act: (leader: number) => void): void {
+  let left = n;
+  world.network.onSend = (from) => {
+    const leader = world.leaderNode();
+    if (leader === undefined || from !== `node-${leader}` || left <= 0) return;
+    left--;
+    if (left === 0) act(leader);
+  };
+}
+
 void test('a quiet day: every job runs to its end', async () => {
   const world = new World({ seed: 1 });
   await world.run(3000);
@@ -21,15 +32,10 @@
   for (let step = 1; step <= 60; step += 1) {
     const world = new World({ seed: 100 + step });
     await world.run(2000);
-    let left = step;
-    world.network.onSend = (from) => {
-      const leader = world.leaderNode();
-      if (leader === undefined || from !== `node-${leader}` || left <= 0) return;
-      left--;
-      if (left > 0) return;
+    atMessage(world, step, (leader) => {
       world.killNode(leader);
       world.time.after(step % 3 === 0 ? 200 : 5000, () => world.startNode(leader));
-    };
+    });
     world.submit({ entries: 3 }, 3000);
     world.submit({ entries: 2, vcpus: 4 }, 6000, step % 2 === 0 ? 14_000 : undefined);
     await world.run(30_000);
@@ -74,16 +80,11 @@
   for (let step = 1; step <= 45; step += 1) {
     const world = new World({ seed: 400 + step });
     await world.run(2000);
-    let left = step;
-    world.network.onSend = (from) => {
-      const leader = world.leaderNode();
-      if (leader === undefined || from !== `node-${leader}` || left <= 0) return;
-      left--;
-      if (left > 0) return;
+    atMessage(world, step, (leader) => {
       world.freezeNode(leader, true);
       const still = [200, 3000, 5000, 13_000][step % 4] ?? 0;
       world.time.after(still, () => world.freezeNode(leader, false));
-    };
+    });
     world.submit({ entries: 3 }, 3000);
     world.submit({ entries: 2, vcpus: 4 }, 6000, step % 2 === 0 ? 9000 : undefined);
     await world.run(30_000);
