Guards where two troubles meet; the meetings as a table of tests

Direct commands renew no lease, but a session lasts a lease from its beginning, which the books did not count; its machine was called expired while the worker ran on. test/unit/orders.test.ts fails without the guard.

--- a/src/api/service.ts
+++ b/src/api/service.ts
@@ -358,6 +358,12 @@
     if (term) {
       // It has seen a newer token than ours: we have no right to act any more.
       if (parsed.data.baton > term.epoch) return { status: 503 };
+      // A 200 keeps all tasks of the worker alive: none before we know which of them are cancelled, or
+      // leaders that end one after the other before they know would keep those beyond their time.
+      if (!term.isReady) {
+        await term.rebuilt;
+        if (!term.isReady || this.ruling() !== term) return { status: 503 };
+      }
       const reply = term.beat(parsed.data);
       return this.ruling() === term ? { status: 200, body: reply } : { status: 503 };
     }
--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -1,11 +1,11 @@
 import { Command, CommanderError } from 'commander';
-import type { OperatorSettings } from '../config/operator.js';
+import { defaultsFor, type OperatorSettings } from '../config/operator.js';
 import { SettingsError, readSettings, type Settings } from '../config/settings.js';
 
 export const VERSION = '0.1.0';
 
 export type Start =
-  | { kind: 'run'; settings: Settings; operator: OperatorSettings | undefined }
+  | { kind: 'run'; settings: Settings; operator: OperatorSettings }
   | { kind: 'exit'; code: number; out?: string; err?: string };
 
 /** What the command line asks for: to run, or to end with a word and a status. */
@@ -39,7 +39,7 @@
   if (opts.config === undefined) return usage('--config is missing');
   try {
     const settings = readSettings(opts.config);
-    let operator: OperatorSettings | undefined;
+    let operator = defaultsFor(settings.workers);
     if (opts.operator !== undefined) {
       // Loaded only where it is used: start-up counts on small machines.
       const config = await import('../config/operator-file.js');
--- a/src/cloud/catalog.ts
+++ b/src/cloud/catalog.ts
@@ -44,11 +44,14 @@
   judge(s: JobSpec, teams: ReadonlyMap<string, Team>): Verdict {
     const team = teams.get(s.desk);
     if (!team) return { never: `desk: no team ${s.desk}` };
+    // A gang is on machines as a whole, of others at least one task at a time.
+    const whole = s.shape === 'ensemble';
+    const least = whole ? s.entries : 1;
     if (
-      (team.cpusMax > 0 && s.vcpus > team.cpusMax) ||
-      (team.gpusMax > 0 && s.gpus > team.gpusMax)
+      (team.cpusMax > 0 && least * s.vcpus > team.cpusMax) ||
+      (team.gpusMax > 0 && least * s.gpus > team.gpusMax)
     ) {
-      return { never: `desk: a task needs more than the limit of ${s.desk}` };
+      return { never: `desk: it needs more at once than the limit of ${s.desk}` };
     }
     if (!this.known) return 'unsure';
     const zones = new Set<string>();
@@ -58,6 +61,10 @@
       for (const hall of f.halls) if (s.hall === null || s.hall === hall) zones.add(hall);
     }
     if (zones.size === 0) return { never: 'a task fits no allowed machine type' };
+    // Tasks of their own can take turns in one zone; a gang that may have half of them there can't.
+    if (whole && s.apart && s.entries > 1 && (s.together || zones.size === 1)) {
+      return { never: 'apart: the tasks of a gang must be in two zones, and may not be' };
+    }
     return 'ok';
   }
 }
--- a/src/config/operator-file.ts
+++ b/src/config/operator-file.ts
@@ -2,7 +2,7 @@
 import { XMLParser } from 'fast-xml-parser';
 import * as z from 'zod';
 import { seconds } from '../units/index.js';
-import { DEFAULTS, type OperatorSettings } from './operator.js';
+import { DEFAULTS, longestLease, type OperatorSettings } from './operator.js';
 import { SettingsError, type Settings } from './settings.js';
 
 const span = (least: number, most: number) =>
@@ -66,12 +66,9 @@
   return parseOperator(text);
 }
 
-/** Room for what is neither lease: reports under way, timers that fire late. */
-const SLACK = seconds(2);
-
 /** A cancelled task must be gone in time even if its machine only stops when its lease ends. */
 export function checkTogether(s: Settings, o: OperatorSettings): void {
-  if (o.lease + s.workers.lease + SLACK >= s.workers.cancel) {
+  if (o.lease > longestLease(s.workers)) {
     throw new SettingsError(
       'operator settings: leadership.lease-s: with params.workers.lease_s it must stay below cancel_s',
     );
--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -1,4 +1,4 @@
-import { seconds, type DurationMs } from '../units/index.js';
+import { ms, seconds, stretched, type DurationMs } from '../units/index.js';
 
 /**
  * What operators may set themselves, in an XML file. Every value has a default, and the service
@@ -18,3 +18,31 @@
   renew: seconds(DEFAULTS.renewS),
   idleBoots: DEFAULTS.idleBoots,
 };
+
+/** Room for what is neither lease: reports under way, timers that fire late. */
+export const SLACK = seconds(2);
+/** No lease of the leader is shorter: the store's own answers may take most of a second. */
+const LEAST_LEASE = seconds(1);
+
+/**
+ * How long a leader's lease may be at most. A worker that hears from nobody any more stops its tasks a
+ * worker lease after the last report that was answered, and reports are answered for at most a leader's
+ * lease after its last renewal. Nobody else confirms a cancellation before that lease is over. So within
+ * both together a cancelled task is gone even if nothing can be told to its machine: they must stay
+ * below the time for a cancellation.
+ */
+export function longestLease(times: {
+  readonly lease: DurationMs;
+  readonly cancel: DurationMs;
+}): DurationMs {
+  return ms(times.cancel - stretched(times.lease) - SLACK);
+}
+
+/** The defaults as far as the platform's times allow. */
+export function defaultsFor(times: {
+  readonly lease: DurationMs;
+  readonly cancel: DurationMs;
+}): OperatorSettings {
+  const lease = ms(Math.max(LEAST_LEASE, Math.min(defaultOperator.lease, longestLease(times))));
+  return { ...defaultOperator, lease, renew: ms(Math.min(defaultOperator.renew, lease / 3)) };
+}
--- a/src/leader/dispatch.ts
+++ b/src/leader/dispatch.ts
@@ -93,7 +93,7 @@
     const now = this.deps.clock.steady();
     const hosts = this.hosts(now);
     if (hosts.length === 0) return;
-    const wants = queue.map((p) => this.want(p));
+    const wants = queue.map((p) => this.want(p, now));
     const fleet = hosts.reduce((n, h) => n + h.total.cpus, 0);
     const reserve = this.urgent.reserve(fleet, now);
     for (const { job } of queue) this.regroup(job);
@@ -237,7 +237,7 @@
     return this.urgent.expected(cpus);
   }
 
-  private want({ job, rank, tasks }: Place): Want {
+  private want({ job, rank, tasks, mustBegin }: Place, now: SteadyMs): Want {
     const { spec } = job;
     const zoned = spec.together || spec.apart;
     const inZone = new Map<string, number>();
@@ -272,9 +272,10 @@
       indexes: regrouping ? [] : this.placeable(job, room, zoned, count),
       count: regrouping ? 0 : count,
       whole,
-      avoid: job.faultyOn,
+      avoid: new Set([...job.faultyOn].filter(([, until]) => until > now).map(([id]) => id)),
       urgent: UrgentWork.is(spec) || rank < 0,
       rank,
+      mustBegin,
     };
   }
 
@@ -321,7 +322,18 @@
     const { ledger, fleet } = this.board;
     for (const job of ledger.jobs.values()) take(job.spec, job.placed.size);
     for (const [key, set] of fleet.strayKeys) {
-      take(ledger.jobs.get(parseTaskKey(key)?.job ?? JobId(''))?.spec, set.size);
+      const id = parseTaskKey(key)?.job ?? JobId('');
+      const spec = ledger.jobs.get(id)?.spec;
+      take(spec, set.size);
+      if (spec) continue;
+      // Of a job that is over nobody knows any more how large its tasks are: until this one is gone its
+      // team, or if that is not known either each of them, starts nothing.
+      const desk = ledger.final(id)?.desk;
+      for (const [name, room] of rooms) {
+        if (desk !== undefined && desk !== name) continue;
+        room.cpus = Math.min(0, room.cpus);
+        room.gpus = Math.min(0, room.gpus);
+      }
     }
     return rooms;
   }
--- a/src/leader/election.ts
+++ b/src/leader/election.ts
@@ -86,9 +86,14 @@
     return this.reign?.epoch ?? this.holderEpoch;
   }
 
-  /** Another node knows of a later leader: our own reading may be stale, or the store be out for us. */
+  /**
+   * Another node knows of a later leader: our own reading may be stale, or the store be out for us.
+   * The later epoch proves that our key is gone, so a reign that only lapsed ends here: workers that
+   * stayed with us are sent on at once, instead of trying node after node until their leases run out.
+   */
   heard(node: NodeId, epoch: number): void {
-    if (this.reign || epoch <= this.holderEpoch || node === this.node) return;
+    if (epoch <= this.leaderEpoch() || node === this.node) return;
+    this.end('another node knows a later leader');
     this.holder = node;
     this.holderEpoch = epoch;
   }
--- a/src/leader/orders.ts
+++ b/src/leader/orders.ts
@@ -1,4 +1,11 @@
-import { attemptKey, isAfter, toReport, type Machine, type Report } from '../fleet/machine.js';
+import {
+  attemptKey,
+  isAfter,
+  leaseEnd,
+  toReport,
+  type Machine,
+  type Report,
+} from '../fleet/machine.js';
 import type { Final, Job } from '../ledger/job.js';
 import {
   later,
@@ -213,9 +220,7 @@
         m.doubts.delete(attempt);
         m.direct.set(attempt, { ended: undefined });
       }
-      if (outcome.report && m.take(outcome.report, this.deps.clock.steady())) {
-        this.observe(m, outcome.report);
-      }
+      if (outcome.report && this.take(m, outcome.report)) this.observe(m, outcome.report);
       return;
     }
     this.deps.log.info({ machine: m.id, why: outcome.why }, 'command not answered');
@@ -225,6 +230,19 @@
     if (unsure && m.isUnsure(this.epoch)) this.takeBack(m, started);
   }
 
+  /**
+   * Takes in what answers a command; false if it is older than what we know. It may be the first word of
+   * a new session, whose lease runs from its beginning without any report having been answered: until
+   * that is over nothing that we start there is gone, whatever was to become of the session before.
+   */
+  private take(m: Machine, r: Report): boolean {
+    const now = this.deps.clock.steady();
+    const began = m.report === undefined || r.shift > m.report.shift;
+    if (!m.take(r, now)) return false;
+    if (began) m.answered(leaseEnd(now, this.deps.settings.workers.lease));
+    return true;
+  }
+
   /** Starts that never left need no proof of absence. */
   private takeBack(m: Machine, started: readonly string[]): void {
     const never = new Set(started);
@@ -266,12 +284,13 @@
     if (!isAfter(report, before)) {
       this.deps.log.warn({ machine: m.id }, 'machine counts its messages from the start again');
       m.reborn(report, now);
+      m.answered(leaseEnd(now, this.deps.settings.workers.lease));
       // What answers carried to the machine before was for one that is gone.
       for (const a of m.assigned.values()) {
         const p = this.jobs.get(a.job)?.placed.get(a.index);
         if (p) delete p.sent;
       }
-    } else if (!m.take(report, now)) return;
+    } else if (!this.take(m, report)) return;
     this.observe(m, report);
   }
 
--- a/src/leader/reports.ts
+++ b/src/leader/reports.ts
@@ -27,7 +27,8 @@
 /** A job that fails on this many machines is probably at fault itself. */
 const FAULTY_MACHINES = 3;
 const FAULT_HOLD = seconds(15);
-const MAX_HOLD = seconds(240);
+/** Held no longer, and kept off a machine no longer: nobody waits beside room for minutes. */
+const MAX_HOLD = seconds(60);
 const FULL_HOLD = seconds(2);
 /** A worker whose lease had so much of its time left when it began a new session never got our answer. */
 const HEARD_SHARE = 0.4;
@@ -43,7 +44,7 @@
     private readonly wake: () => void,
   ) {}
 
-  beat(b: Beat, ready: boolean): BeatReply {
+  beat(b: Beat): BeatReply {
     const now = this.deps.clock.steady();
     const none: BeatReply = { baton: this.epoch, orders: [] };
     const id = MachineId(b.box);
@@ -57,7 +58,7 @@
     const { lease } = this.deps.settings.workers;
     if (fresh && last) this.noteHearing(m, r, last, now);
     m.answered(leaseEnd(now, lease));
-    if (!fresh || !ready) return none;
+    if (!fresh) return none;
     if (!wasUp) this.wake();
     this.observe(m, r, true);
     return { baton: this.epoch, orders: this.orders.answer(m, r) };
@@ -164,7 +165,7 @@
     switch (e.cause) {
       case 'error':
         m.faults++;
-        job.faultyOn.add(m.id);
+        job.faultyOn.set(m.id, later(now, MAX_HOLD));
         this.deps.log.warn({ job: job.id, index, machine: m.id }, 'task failed');
         // The machine is suspected first: it gets a rest, and this job goes elsewhere.
         m.heldUntil = later(now, ms(FAULT_HOLD * Math.min(4, m.faults)));
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -31,6 +31,8 @@
 const HINTS_EVERY = seconds(4);
 const FLEET_EVERY = seconds(10);
 const STORE_TIMEOUT = ms(2000);
+/** Reports that come while the records are being read wait so long for it, counted from the beginning. */
+const MOST_REBUILD_WAIT = ms(1500);
 /** A submission that would wait longer for its turn to be written is refused at once. */
 const MOST_INTAKE_WAIT = ms(1000);
 
@@ -58,6 +60,9 @@
   private listening: SteadyMs;
   private ticked: SteadyMs;
   private closed = false;
+  /** Resolves once the term is ready or closed, or has taken too long to become ready. */
+  readonly rebuilt: Promise<void>;
+  private stopWaiting: () => void = () => undefined;
   private ticker: Timer | undefined;
 
   constructor(
@@ -70,6 +75,8 @@
     this.ticked = began;
     this.hintsSent = began;
     this.fleetTold = began;
+    this.rebuilt = new Promise((resolve) => (this.stopWaiting = resolve));
+    clock.after(MOST_REBUILD_WAIT, () => this.stopWaiting());
     this.ledger = new Ledger(deps.store, epoch, settings.state.txnOps, clock, random, log, {
       committed: (job) => this.onCommitted(job),
       adopted: (job) => this.board.readopt(job),
@@ -120,6 +127,7 @@
 
   close(): void {
     this.closed = true;
+    this.stopWaiting();
     this.ticker?.cancel();
     this.ledger.close();
     this.orders.close();
@@ -147,6 +155,7 @@
       break;
     }
     this.dispatch.ready = true;
+    this.stopWaiting();
     this.deps.log.info(
       { jobs: this.ledger.jobs.size, machines: this.fleet.machines.size },
       'rebuilt from the records',
@@ -345,7 +354,7 @@
   // --- machines ---------------------------------------------------------------------------------
 
   beat(b: Beat): BeatReply {
-    return this.reports.beat(b, this.isReady);
+    return this.reports.beat(b);
   }
 
   private expire(): void {
--- a/src/ledger/job.ts
+++ b/src/ledger/job.ts
@@ -79,8 +79,8 @@
   /** When a task of it was last placed, by this leader or as it found the record. */
   lastPlaced: SteadyMs | undefined;
 
-  /** Trouble seen: machines on which its tasks failed, and until when it is held back. */
-  readonly faultyOn = new Set<MachineId>();
+  /** Trouble seen: machines on which its tasks failed, and until when it keeps off them and is held back. */
+  readonly faultyOn = new Map<MachineId, SteadyMs>();
   heldUntil = 0 as SteadyMs;
   holds = 0;
 
@@ -160,6 +160,28 @@
     this.touch(Press.intake);
   }
 
+  /**
+   * Read from the store in the place of `before`, which went another way: a transaction of ours that was
+   * given up was carried out late. Where both agree on an attempt, what we told its machine and saw there
+   * still holds; as an inherited one it would count as absent while its start is on the way. Versions go
+   * on from those used, so that no later record can pass for an earlier one of the same epoch.
+   */
+  succeed(before: Job): void {
+    this.version = before.version + 1;
+    this.committed = this.version;
+    this.nextAttempt = Attempt(Math.max(this.nextAttempt, before.nextAttempt));
+    for (const [index, p] of this.placed) {
+      const own = before.placed.get(index);
+      if (own && own.machine === p.machine && own.attempt === p.attempt && !own.inherited) {
+        this.placed.set(index, { ...own, version: this.committed });
+      }
+    }
+    this.lastPlaced = before.lastPlaced ?? this.lastPlaced;
+    this.heldUntil = before.heldUntil;
+    this.holds = before.holds;
+    for (const [machine, until] of before.faultyOn) this.faultyOn.set(machine, until);
+  }
+
   final(): Final {
     return {
       status: this.aborted ? 'aborted' : 'done',
--- a/src/ledger/ledger.ts
+++ b/src/ledger/ledger.ts
@@ -468,6 +468,7 @@
   private adopt(job: Job, data: unknown, stamp: Revision): void {
     this.log.warn({ job: job.id }, 'record changed under us; taking what the store holds');
     const fresh = decodeJob(job.id, data, stamp, this.clock.steady());
+    fresh.succeed(job);
     this.unmind(job);
     this.jobs.set(job.id, fresh);
     this.mind(fresh);
--- a/src/ledger/queue.ts
+++ b/src/ledger/queue.ts
@@ -11,6 +11,8 @@
 const UNHURRIED = seconds(600);
 /** The longest that a job with waiting tasks is passed over: its users see it begin within minutes. */
 const PASSED_OVER = seconds(120);
+/** A job none of whose tasks is anywhere may begin after this time wherever there is room. */
+const MUST_BEGIN = seconds(60);
 /** What of a job that was passed over comes first then. */
 const FIRST_SHARE = 0.1;
 
@@ -21,6 +23,8 @@
   readonly job: Job;
   /** How many of its waiting tasks are to be placed at this rank. */
   readonly tasks: number;
+  /** It has waited so long that no room may be kept from its beginning. */
+  readonly mustBegin: boolean;
 }
 
 /** When a job should be done, and by when it is still of use: all times that users set, earliest first. */
@@ -69,12 +73,14 @@
   wall: WallMs,
   now: SteadyMs,
 ): Place {
-  if (passedOver(job, wall, now) > PASSED_OVER) {
+  const waited = passedOver(job, wall, now);
+  const mustBegin = job.placed.size === 0 && waited > MUST_BEGIN;
+  if (waited > PASSED_OVER) {
     const tasks = Math.min(job.waiting.size, Math.ceil(job.spec.entries * FIRST_SHARE));
-    return { rank: -1, late: false, due: job.submitted, job, tasks };
+    return { rank: -1, late: false, due: job.submitted, job, tasks, mustBegin };
   }
   const { due, late } = dueBy(job, objectives, wall, ms(job.spec.expected_s * 1000));
-  return { rank: RANK[job.spec.urgency], late, due, job, tasks: job.waiting.size };
+  return { rank: RANK[job.spec.urgency], late, due, job, tasks: job.waiting.size, mustBegin };
 }
 
 export const rankOf = (u: Urgency): number => RANK[u];
--- a/src/main.ts
+++ b/src/main.ts
@@ -6,7 +6,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { createApp } from './api/app.js';
 import { parseCommandLine } from './cli/cli.js';
-import { defaultOperator, type OperatorSettings } from './config/operator.js';
+import { longestLease, type OperatorSettings } from './config/operator.js';
 import type { Settings } from './config/settings.js';
 import { LANE_SOCKETS, NodeHttpClient } from './net/http.js';
 import { Controller } from './node.js';
@@ -88,6 +88,9 @@
   peers.on('error', failed('listening for the other nodes'));
   open();
   controller.start();
+  if (operator.lease > longestLease(settings.workers)) {
+    log.warn('cancel_s leaves no time for a change of leader beside lease_s: tasks may outlast it');
+  }
   log.info({ area: settings.area }, 'started');
 }
 
@@ -97,5 +100,5 @@
     if (start.out) process.stdout.write(start.out);
     if (start.err) process.stderr.write(start.err);
     process.exitCode = start.code;
-  } else run(start.settings, start.operator ?? defaultOperator);
+  } else run(start.settings, start.operator);
 });
--- a/src/net/http.ts
+++ b/src/net/http.ts
@@ -144,9 +144,14 @@
           ? { 'content-type': CONTENT_TYPE, 'content-length': bytes.length }
           : { accept: CONTENT_TYPE },
       });
+      // A process that is behind reads what has arrived only after its timers: an answer that is there
+      // already is no lost one.
       const timer = setTimeout(() => {
-        lost('no answer in time');
-        req.destroy();
+        setImmediate(() => {
+          if (settled) return;
+          lost('no answer in time');
+          req.destroy();
+        });
       }, request.timeout);
       req.on('socket', (socket) => {
         // A kept connection is connected already. Until a new one is, nothing can have left.
--- a/src/placer/placer.ts
+++ b/src/placer/placer.ts
@@ -47,6 +47,8 @@
   readonly avoid: ReadonlySet<MachineId>;
   /** Too urgent to be held to the reserve. */
   readonly urgent: boolean;
+  /** None of its tasks is anywhere, and it has waited for long: its first may go where room is kept. */
+  readonly mustBegin: boolean;
   /** Its place among all: wants come in this order, and equal ones are alike in urgency. */
   readonly rank: number;
 }
@@ -76,7 +78,8 @@
   ramGb: number;
   /** Images under way to it: the host's own, until one is added. */
   coming: ReadonlySet<string>;
-  claimed: boolean;
+  /** Kept by a large task that comes before; firmly, if that one was passed over for long itself. */
+  claimed: 'no' | 'yes' | 'firmly';
 }
 
 /** Machines that are alike to a job that asks whether it may run there. */
@@ -143,7 +146,7 @@
       }
       const { cpus: free, gpus, ramGb } = host.free;
       const coming = host.fetching;
-      kind.slots.push({ host, kind, cpus: free, gpus, ramGb, coming, claimed: false });
+      kind.slots.push({ host, kind, cpus: free, gpus, ramGb, coming, claimed: 'no' });
     }
     this.kinds = [...kinds.values()];
     this.cpus = cpus;
@@ -216,11 +219,16 @@
     const placed = fill(want, bound, suited, room, teams.get(want.team), most - out.length);
     for (const a of placed) out.push(a);
     const missing = want.count - placed.length;
-    if (missing > 0) claim(want, suited, missing);
+    // What its team's limit keeps back needs no machine kept for it.
+    if (missing > 0 && isUnder(teams.get(want.team), want.size)) claim(want, suited, missing);
   }
   return out;
 }
 
+/** Whether one more task leaves its team within its limit. */
+const isUnder = (team: TeamRoom | undefined, size: Size): boolean =>
+  !team || (size.cpus <= team.cpus + EPS && size.gpus <= team.gpus + EPS);
+
 /** Places what it can of one job, or, of a gang, all or nothing. */
 function fill(
   want: Want,
@@ -235,7 +243,8 @@
     // What others can't do without is taken last by those who can.
     const tier = kind.contested && !bound && !want.urgent ? 1000 : 0;
     for (const slot of kind.slots) {
-      if (slot.claimed || !fits(want.size, slot) || want.avoid.has(slot.host.id)) continue;
+      if (slot.claimed === 'firmly' || (slot.claimed === 'yes' && !want.mustBegin)) continue;
+      if (!fits(want.size, slot) || want.avoid.has(slot.host.id)) continue;
       candidates.push({ slot, score: tier + delay(want, slot) });
     }
   }
@@ -248,13 +257,16 @@
   for (const index of want.indexes) {
     if (out.length >= most) break;
     // A task that would take its team over the limit must not start, whatever is free.
-    if (team && (want.size.cpus > team.cpus + EPS || want.size.gpus > team.gpus + EPS)) break;
+    if (!isUnder(team, want.size)) break;
     // A machine once taken is the best until it is full, so the search only ever goes on.
     let slot: Slot | undefined;
     for (; next < candidates.length && !slot; next++) {
       const s = candidates[next]?.slot;
       if (!s || !fits(want.size, s)) continue;
-      if (!want.urgent && !room.spare(s, want.size.cpus)) continue;
+      // Room is kept from what comes later, but not for so long that a job can't begin beside it.
+      const begins = want.mustBegin && out.length === 0;
+      if (!begins && s.claimed !== 'no') continue;
+      if (!begins && !want.urgent && !room.spare(s, want.size.cpus)) continue;
       if (want.together && zone !== undefined && s.host.hall !== zone) continue;
       if ((inZone.get(s.host.hall) ?? 0) >= want.perZone) continue;
       slot = s;
@@ -301,7 +313,7 @@
     of += kind.slots.length;
     const large = want.size.cpus * 2 >= kind.total.cpus - EPS;
     for (const s of kind.slots) {
-      if (s.claimed) held++;
+      if (s.claimed !== 'no') held++;
       else if (large && !fits(want.size, s)) open.push(s);
     }
   }
@@ -310,7 +322,7 @@
   let left = missing;
   for (const s of open) {
     if (left <= 0 || held >= most) break;
-    s.claimed = true;
+    s.claimed = want.rank < 0 ? 'firmly' : 'yes';
     held++;
     left -= Math.max(1, Math.floor((s.host.total.cpus + EPS) / want.size.cpus));
   }
--- a/test/standin/day.ts
+++ b/test/standin/day.ts
@@ -21,7 +21,12 @@
   for (const id of world.workers.keys()) {
     world.hangWorker(id, false);
     world.deafen(id, false);
+    world.mute(id, false);
   }
+  world.lateWrites(0);
+  world.slowStore(0);
+  world.network.hold(undefined);
+  world.cancelAtEnd = 0;
   world.reunite();
   world.refusePeers(false);
   world.copies(0);
@@ -68,7 +73,7 @@
       ['a', 'c'],
     ] as const);
     const ids = [...world.workers.keys()];
-    switch (Math.floor(r() * 24)) {
+    switch (Math.floor(r() * 34)) {
       case 0:
       case 1: {
         const victim = r() < 0.6 ? (world.leaderNode() ?? n) : n;
@@ -142,6 +147,48 @@
         later(200 + r() * 15_000, () => world.freezeNode(still, false));
         break;
       }
+      case 19:
+      case 20:
+        if (ids.length > 0) {
+          const id = pick(ids);
+          world.mute(id, true);
+          later(5000 + r() * 60_000, () => world.mute(id, false));
+        }
+        break;
+      case 21:
+      case 22:
+        world.lateWrites(0.3 * r());
+        later(5000 + r() * 40_000, () => world.lateWrites(0));
+        break;
+      case 23:
+        world.copies(0.3);
+        later(5000 + r() * 40_000, () => world.copies(0.02));
+        break;
+      case 24:
+      case 25:
+        world.cancelNow(6, r() < 0.5 ? 1000 + r() * 30_000 : 0);
+        break;
+      case 26:
+      case 27:
+        world.cancelAtEnd = r();
+        later(5000 + r() * 40_000, () => (world.cancelAtEnd = 0));
+        break;
+      case 28: {
+        // The store refuses the leader alone; jobs are called off; then it is out for all, for long.
+        const alone = world.leaderNode() ?? n;
+        world.state.outageFor(`node-${alone}`, true);
+        later(r() * 7000, () => world.cancelNow(6, r() < 0.3 ? 20_000 : 0));
+        later(500 + r() * 11_500, () => {
+          if (world.isCalm) return;
+          world.state.outage(true);
+          later(24_000 + r() * 30_000, () => world.state.outage(false));
+        });
+        later(4000 + r() * 20_000, () => world.state.outageFor(`node-${alone}`, false));
+        break;
+      }
+      case 29:
+        world.oddRequests();
+        break;
       case 11:
         for (const id of ids) if (r() < 0.4) world.cloud.end(id);
         break;
--- a/test/standin/network.ts
+++ b/test/standin/network.ts
@@ -72,6 +72,12 @@
     if (path === undefined) this.release();
   }
 
+  /** So much longer requests to an address take, and so much longer their answers. */
+  slow: ((to: string) => number) | undefined;
+
+  /** Requests that get no answer and are carried out so much later, after newer ones; undefined: not this one. */
+  late: ((path: string) => number | undefined) | undefined;
+
   /** Answers to requests on which this says so get lost, though they were carried out. */
   losesAnswer: ((path: string) => boolean) | undefined;
 
@@ -167,6 +173,11 @@
       const handler = this.hosts.get(at)?.handler;
       return handler && Promise.resolve(handler(request.method, request.path, body, from));
     };
+    const late = this.late?.(request.path);
+    if (late !== undefined) {
+      this.time.after(late, () => void call(to));
+      return;
+    }
     const arrive = (): void => {
       const again = this.copy?.(request.path, to);
       if (again) this.time.after(again.after, () => void call(again.to));
@@ -179,14 +190,17 @@
         if (this.random() < this.loss || this.deaf.has(from)) return;
         if (this.losesAnswer?.(request.path)) return;
         const answer = through(a.body);
-        this.time.after(1 + this.random() * 4, () => {
+        this.time.after(1 + this.random() * 4 + (this.slow?.(to) ?? 0), () => {
           // The way back is cut as well: the sender has long given up when it is open again.
           if (this.blocked(from, zone, to)) return;
           settle({ kind: 'answer', status: a.status, body: answer });
         });
       });
     };
-    if (request.path === this.holdPath) this.held.push({ host: from, from: zone, to, go: arrive });
+    const slow = this.slow?.(to) ?? 0;
+    if (slow > 0) this.time.after(slow, () => this.forward(from, zone, to, arrive));
+    else if (request.path === this.holdPath)
+      this.held.push({ host: from, from: zone, to, go: arrive });
     else this.forward(from, zone, to, arrive);
   }
 }
--- a/test/standin/state.ts
+++ b/test/standin/state.ts
@@ -68,6 +68,9 @@
     if (!on) for (const l of this.leases.values()) l.ends = this.time.now + l.ttl;
   }
 
+  /** Lists of keys that begin like this are refused, while all else is served. */
+  hides: string | undefined;
+
   /** Answers 503 to one node only, whose leases run out meanwhile. */
   outageFor(node: string, on: boolean): void {
     if (on) this.outFor.add(node);
@@ -198,6 +201,7 @@
 
   private list(q: URLSearchParams): Answered {
     const prefix = q.get('starts') ?? '';
+    if (this.hides !== undefined && prefix.startsWith(this.hides)) return { status: 503, body: {} };
     const from = q.get('from') ?? '';
     const limit = Math.min(1000, Number(q.get('limit') ?? 1000));
     const keys = [...this.keys.keys()].filter((k) => k.startsWith(prefix) && k > from).sort();
--- a/test/standin/worker.ts
+++ b/test/standin/worker.ts
@@ -68,6 +68,17 @@
     this.watchLease();
   }
 
+  /** What is on it or on its way there, for the checks of the rules. */
+  alive(): string[] {
+    return [...this.held.values()].filter((h) => h.status !== 'exited').map((h) => h.entry);
+  }
+
+  free(): number {
+    let used = 0;
+    for (const h of this.held.values()) if (h.status !== 'exited') used += h.vcpus;
+    return this.vcpus - used;
+  }
+
   private after(delay: number, run: () => void): void {
     this.clock.after(ms(delay), () => {
       if (this.dead) return;
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -59,6 +59,8 @@
   readonly completed: Set<number>;
   /** When a question about it was last answered. */
   answeredAt: number;
+  /** Since when it has waited beside a machine that has room for it. */
+  besideRoomSince: number | undefined;
   /** The process that its user's connection is open to. */
   connection: { n: number; process: Process } | undefined;
 }
@@ -66,6 +68,9 @@
 /** The limit of the one team, unless a world sets another. */
 const TEAM_CPUS = 24;
 
+/** Once all troubles are over, a job waits no longer than this beside a machine that has room for it. */
+const WAITING_BESIDE_ROOM = 90_000;
+
 /** Questions about a job go unanswered for at most so long, while others are answered, and at all. */
 const UNANSWERED_AMONG_OTHERS = 90_000;
 const UNANSWERED_IN_CALM = 75_000;
@@ -141,6 +146,7 @@
     });
     this.watchCancelled();
     this.watchAnswers();
+    this.watchRoom();
   }
 
   private settingsOf(n: number): Settings {
@@ -169,6 +175,10 @@
     this.calmSince = this.time.now;
   }
 
+  get isCalm(): boolean {
+    return this.calmSince !== undefined;
+  }
+
   // --- controllers ------------------------------------------------------------------------------
 
   startNode(n: number): void {
@@ -330,6 +340,58 @@
     for (const n of [0, 1, 2]) this.network.refuse(`10.0.0.${n + 1}:8081`, on);
   }
 
+  /** Its reports reach no controller, while direct commands still reach it. */
+  mute(id: string, on: boolean): void {
+    const apis = new Set<string>([0, 1, 2].map((n) => `10.0.0.${n + 1}:8080`));
+    if (on) this.network.keepApart(id, (to) => apis.has(to), false);
+    else this.network.reunite(id);
+  }
+
+  /** Requests to the state service, and their answers, take up to so much longer. */
+  slowStore(ms: number): void {
+    this.network.slow = ms <= 0 ? undefined : (to) => (to === STATE ? this.random() * ms : 0);
+  }
+
+  /** So large a share of the transactions gets no answer and is carried out after newer ones. */
+  lateWrites(share: number): void {
+    this.network.late =
+      share <= 0
+        ? undefined
+        : (path) =>
+            path === '/multi' && this.random() < share ? 2000 + this.random() * 10_000 : undefined;
+  }
+
+  /** Users call off so many jobs that run, within a fifth of a second; their machines hang meanwhile. */
+  cancelNow(count: number, hangMs: number): void {
+    const running = [...this.jobs].filter(([id, j]) => {
+      return !this.isOver(j) && !j.abortAsked && this.machinesOf(id).length > 0;
+    });
+    const hung = new Set<string>();
+    for (const [id, job] of running.slice(0, count)) {
+      if (hangMs > 0) for (const m of this.machinesOf(id)) if (hung.size < 8) hung.add(m);
+      this.time.after(this.random() * 200, () => this.cancel(id, job));
+    }
+    for (const m of hung) {
+      this.hangWorker(m, true);
+      this.time.after(hangMs, () => this.hangWorker(m, false));
+    }
+  }
+
+  /** Of the jobs that end from now on, so large a share is called off at that very moment. */
+  cancelAtEnd = 0;
+
+  private cancel(id: string, job: Known): void {
+    if (job.abortAsked) return;
+    job.abortAsked = true;
+    this.keepAborting(id, job);
+  }
+
+  private machinesOf(job: string): string[] {
+    const out: string[] = [];
+    for (const [e, on] of this.where) if (e.startsWith(`${job}/`)) out.push(...on);
+    return out;
+  }
+
   /** Of so large a share of the messages to controllers and workers a copy comes late, anywhere. */
   copies(share: number): void {
     const apis = [0, 1, 2].map((n) => `10.0.0.${n + 1}:8080`);
@@ -428,7 +490,12 @@
 
   completed(entry: string): void {
     const t = this.parse(entry);
-    t?.job.completed.add(t.index);
+    if (!t) return;
+    t.job.completed.add(t.index);
+    const over = t.job.completed.size === t.job.spec.entries;
+    if (over && this.cancelAtEnd > 0 && this.random() < this.cancelAtEnd) {
+      this.cancel(t.job.spec.name_id, t.job);
+    }
   }
 
   isCompleted(entry: string): boolean {
@@ -448,6 +515,44 @@
     });
   }
 
+  /** Whether some machine has room for one more task of a job that has none anywhere. */
+  private waitsBesideRoom(id: string, job: Known): boolean {
+    const { spec: s } = job;
+    if (this.isOver(job) || !job.accepted || job.abortAsked) return false;
+    const most = this.settings.teams.get(s.desk)?.cpusMax ?? 0;
+    let used = 0;
+    let room = false;
+    for (const { worker, machine } of this.workers.values()) {
+      for (const e of worker.alive()) {
+        if (e.startsWith(`${id}/`)) return false;
+        used += this.parse(e)?.job.spec.vcpus ?? 0;
+      }
+      room ||=
+        worker.recallAt === undefined &&
+        worker.free() >= s.vcpus &&
+        (s.builds === null || s.builds.includes(machine.build)) &&
+        (s.hall === null || s.hall === machine.hall) &&
+        (s.loaners || !machine.spot);
+    }
+    return room && (most <= 0 || used + s.vcpus <= most);
+  }
+
+  private watchRoom(): void {
+    this.time.after(1000, () => {
+      const { now } = this.time;
+      if (this.calmSince !== undefined) {
+        for (const [id, job] of this.jobs) {
+          if (!this.waitsBesideRoom(id, job)) job.besideRoomSince = undefined;
+          else job.besideRoomSince ??= now;
+          if (now - (job.besideRoomSince ?? now) <= WAITING_BESIDE_ROOM) continue;
+          this.rule('left_waiting', `${id} beside a machine that has room`);
+          job.besideRoomSince = undefined;
+        }
+      }
+      this.watchRoom();
+    });
+  }
+
   private watchAnswers(): void {
     this.time.after(1000, () => {
       const { now } = this.time;
@@ -520,15 +625,13 @@
       abortedAt: undefined,
       completed: new Set(),
       answeredAt: this.time.now,
+      besideRoomSince: undefined,
       connection: undefined,
     };
     this.jobs.set(id, job);
     this.keepSubmitting(id, job);
     if (abortAfter !== undefined) {
-      this.time.after(abortAfter, () => {
-        job.abortAsked = true;
-        this.keepAborting(id, job);
-      });
+      this.time.after(abortAfter, () => this.cancel(id, job));
     }
     return id;
   }
@@ -591,6 +694,36 @@
     return [...this.jobs].filter(([, j]) => !this.isOver(j)).map(([id, j]) => `${id} ${j.told}`);
   }
 
+  /**
+   * What users do that makes no sense: repeat the submission of a job that runs, cancel one that is done,
+   * and submit jobs that can't run (422) or that lack a field (400).
+   */
+  oddRequests(): void {
+    for (const [id, job] of this.jobs) {
+      if (job.accepted && this.random() < 0.2) {
+        const cancels = job.told === 'done' && this.random() < 0.5;
+        const path = cancels ? `/v1/jobs/${id}/abort` : '/v1/jobs';
+        void this.ask('POST', path, cancels ? undefined : job.spec, 5000).then((o) => {
+          if (o?.status === 200) this.tell(id, job, o.body);
+          if (o?.status === 400 || o?.status === 422 || o?.status === 404)
+            this.rule('forgotten', `${id} got ${o.status} for ${path}`);
+        });
+      }
+    }
+    const large = { ...spec({ vcpus: 1000 }) };
+    const lacking: Partial<JobSpec> = spec({});
+    delete lacking.entries;
+    for (const [body, status] of [
+      [{ ...large, name_id: `run-9${String(this.jobCounter).padStart(5, '0')}` }, 422],
+      [{ ...lacking, name_id: `run-8${String(this.jobCounter).padStart(5, '0')}` }, 400],
+    ] as const) {
+      void this.ask('POST', '/v1/jobs', body, 5000).then((o) => {
+        if (o === undefined || o.status === 503 || o.status === 429 || o.status === status) return;
+        this.rule('accepted', `${body.name_id} got ${o.status} instead of ${status}`);
+      });
+    }
+  }
+
   /** Asks for a job that nobody submitted. */
   probeUnknown(): void {
     void this.ask('GET', '/v1/jobs/run-999999', undefined, 2000).then((o) => {
--- a/test/unit/config.test.ts
+++ b/test/unit/config.test.ts
@@ -5,8 +5,11 @@
 import { join } from 'node:path';
 import { test } from 'node:test';
 import { parseCommandLine } from '../../src/cli/cli.js';
+import fc from 'fast-check';
+import { defaultsFor, longestLease } from '../../src/config/operator.js';
 import { checkTogether, parseOperator } from '../../src/config/operator-file.js';
 import { SettingsError, parseSettings } from '../../src/config/settings.js';
+import { seconds, shrunk, stretched } from '../../src/units/index.js';
 import { settingsFile } from '../support/settings.js';
 
 void test('settings: what is wrong is named by its field', () => {
@@ -54,6 +57,27 @@
   return { ...file, params: { ...file.params, [field]: value } };
 }
 
+void test('a cancelled task is gone in time even if its machine only stops with its lease', () => {
+  const lasts = fc.record({
+    lease: fc.integer({ min: 2, max: 60 }),
+    spare: fc.integer({ min: 4, max: 60 }),
+  });
+  fc.assert(
+    fc.property(lasts, ({ lease, spare }) => {
+      const times = { lease: seconds(lease), cancel: seconds(lease + spare) };
+      const { lease: leader, renew } = defaultsFor(times);
+      // From the last renewal on: authority, then the lease of a worker answered in its last moment.
+      const authority = shrunk(leader);
+      assert.ok(authority + stretched(times.lease) < times.cancel);
+      assert.ok(leader >= 1000 && leader <= 4000 && renew <= leader / 3);
+    }),
+    { seed: 20261202 },
+  );
+  // Less than any lease leaves: it starts all the same, and says so in its log.
+  const tight = { lease: seconds(24), cancel: seconds(25) };
+  assert.ok(defaultsFor(tight).lease > longestLease(tight));
+});
+
 void test("operators' settings: XML, checked", () => {
   const cases: [string, string, RegExp | undefined][] = [
     ['nothing set', '<topazpin></topazpin>', /topazpin/],
--- a/test/unit/ledger.test.ts
+++ b/test/unit/ledger.test.ts
@@ -108,6 +108,26 @@
   );
 });
 
+void test('a record that takes the place of ours keeps what we know of the attempts that both name', () => {
+  const [a, b] = [MachineId('vm-000001'), MachineId('vm-000002')];
+  const ours = new Job(id, spec({ entries: 4 }), WallMs(5), Revision(7));
+  ours.place([{ index: 0, machine: a }], now);
+  const late = decodeJob(id, encodeJob(ours, Epoch(3)), Revision(8), now);
+  const first = ours.placed.get(0);
+  assert.ok(first);
+  first.sent = { shift: 1, tally: 9 };
+  // A later write of ours, which lost against the late one.
+  ours.place([{ index: 1, machine: b }], now);
+  const used = ours.version;
+  late.succeed(ours);
+  const kept = late.placed.get(0);
+  assert.deepEqual([kept?.sent, kept?.inherited], [{ shift: 1, tally: 9 }, false]);
+  assert.equal(late.placed.has(1), false);
+  assert.ok(late.version > used && late.committed === late.version);
+  late.place([{ index: 1, machine: a }], now);
+  assert.equal(late.placed.get(1)?.attempt, 3, 'no attempt number is used twice');
+});
+
 void test('damaged records are refused rather than read as finished work', () => {
   const job = new Job(id, spec({ entries: 8 }), WallMs(5), Revision(7));
   job.place([{ index: 0, machine: MachineId('vm-000001') }], now);
--- /dev/null
+++ b/test/unit/orders.test.ts
@@ -0,0 +1,98 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { pino } from 'pino';
+import { parseSettings } from '../../src/config/settings.js';
+import { Fleet } from '../../src/fleet/fleet.js';
+import { leaseEnd, toReport } from '../../src/fleet/machine.js';
+import type { Board } from '../../src/leader/board.js';
+import type { TermDeps } from '../../src/leader/deps.js';
+import { Orders } from '../../src/leader/orders.js';
+import { Job } from '../../src/ledger/job.js';
+import {
+  Epoch,
+  JobId,
+  MachineId,
+  Revision,
+  SteadyMs,
+  WallMs,
+  taskKey,
+} from '../../src/units/index.js';
+import { spec } from '../support/jobs.js';
+import { settingsFile } from '../support/settings.js';
+import { ProcessClock, VirtualTime } from '../standin/clock.js';
+
+const epoch = Epoch(50);
+const id = MachineId('vm-1');
+const beat = {
+  box: id,
+  addr: '10.1.0.1:9000',
+  build: 'small',
+  hall: 'a',
+  loaners: true,
+  shift: 1,
+  tally: 9,
+  baton: 50,
+  recall_s: null,
+  entries: [],
+};
+
+void test('what answers a command moves a lease only as the first word of a new session', async () => {
+  const { lease } = parseSettings(settingsFile()).workers;
+  const cases: [name: string, status: number, shift: number, renewed: boolean][] = [
+    ['carried out: no report was answered', 200, 1, false],
+    ['refused in a new session: it lasts from its beginning', 409, 2, true],
+  ];
+  for (const [name, status, shift, renewed] of cases) {
+    const time = new VirtualTime();
+    const clock = new ProcessClock(time, 0, 0);
+    const settings = parseSettings(settingsFile());
+    const fleet = new Fleet({
+      began: SteadyMs(0),
+      lease,
+      cacheOf: () => 20,
+      hinted: () => [],
+      sizeOf: () => undefined,
+    });
+    const m = fleet.meet(id, { build: 'small', hall: 'a', spot: true }, beat.addr);
+    m.take(toReport(beat), clock.steady());
+    m.answered(leaseEnd(clock.steady(), lease));
+    const job = new Job(JobId('run-000001'), spec({ entries: 1 }), WallMs(0), Revision(1));
+    job.place([{ index: 0, machine: id }], clock.steady());
+    job.committed = job.version;
+    const placed = job.placed.get(0);
+    assert.ok(placed);
+    fleet.assign(id, taskKey(job.id, 0), {
+      job: job.id,
+      index: 0,
+      attempt: placed.attempt,
+      size: { cpus: 2, gpus: 0, ramGb: 4 },
+      image: 'x',
+    });
+    const deps = {
+      settings,
+      clock,
+      log: pino({ level: 'silent' }),
+      authority: () => epoch,
+      http: {
+        send: () =>
+          Promise.resolve({ kind: 'answer', status, body: { ...beat, shift, tally: 12 } }),
+      },
+    };
+    const board = { fleet, ledger: { jobs: new Map([[job.id, job]]) } };
+    const orders = new Orders(
+      epoch,
+      board as unknown as Board,
+      deps as unknown as TermDeps,
+      () => undefined,
+    );
+    // The worker's own lease may be over by now, and a new session have begun.
+    await time.run(lease);
+    const before = m.expires;
+    assert.ok(clock.steady() <= before);
+    orders.push(id);
+    await time.run(lease + 10);
+    assert.equal(m.report?.shift, shift, name);
+    assert.equal(m.expires > before, renewed, name);
+    if (renewed) assert.ok(m.expires >= lease * 2, name);
+  }
+});
--- a/test/unit/placer.test.ts
+++ b/test/unit/placer.test.ts
@@ -2,7 +2,14 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import type { Size } from '../../src/fleet/size.js';
-import { allows, place, type Host, type Want } from '../../src/placer/placer.js';
+import {
+  allows,
+  place,
+  type Host,
+  type Reserve,
+  type TeamRoom,
+  type Want,
+} from '../../src/placer/placer.js';
 import { JobId, MachineId } from '../../src/units/index.js';
 
 const seed = 20260314;
@@ -39,11 +46,41 @@
   avoid: new Set(),
   urgent: false,
   rank: 2,
+  mustBegin: false,
   whole: false,
   count,
   ...change,
 });
 
+void test('room that is kept: who may use it, and how much', () => {
+  const big: Size = { cpus: 32, gpus: 0, ramGb: 64 };
+  const half: Size = { cpus: 16, gpus: 0, ramGb: 64 };
+  const large = want('l', 1, { size: { cpus: 24, gpus: 0, ramGb: 1 }, rank: 1 });
+  const hosts = [host('m1', { total: big, free: half })];
+  const reserved = new Map([['img', 64]]);
+  const room = new Map([['t', { cpus: 20, gpus: 0 }]]);
+  const none = new Map<string, never>();
+  const cases: [string, Want[], ReadonlyMap<string, TeamRoom>, Reserve, number][] = [
+    ['a large task keeps its machine', [large, want('j', 4)], none, none, 0],
+    ['a job begins there in the end', [large, want('j', 4, { mustBegin: true })], none, none, 1],
+    [
+      'not if the large one waited as long',
+      [{ ...large, rank: -1 }, want('j', 4, { mustBegin: true })],
+      none,
+      none,
+      0,
+    ],
+    ['what its team may not start keeps nothing', [large, want('j', 4)], room, none, 4],
+    ['room for urgent work', [want('j', 4)], none, reserved, 0],
+    ['a job begins there too', [want('j', 4, { mustBegin: true })], none, reserved, 1],
+  ];
+  for (const [name, wants, teams, reserve, placed] of cases) {
+    const held = reserve.size > 0 ? [host('m1', { images: ['img'] })] : hosts;
+    const fresh = new Map([...teams].map(([k, v]) => [k, { ...v }]));
+    assert.equal(place(wants, held, fresh, 100, reserve).length, placed, name);
+  }
+});
+
 void test('where a task goes', () => {
   const big: Size = { cpus: 32, gpus: 0, ramGb: 64 };
   const cases: [string, Want, Host[], string | undefined][] = [
--- a/test/unit/service.test.ts
+++ b/test/unit/service.test.ts
@@ -9,7 +9,7 @@
 import type { Answer, Term } from '../../src/leader/term.js';
 import { parseSettings } from '../../src/config/settings.js';
 import { Epoch, JobId, NodeId, Revision, WallMs } from '../../src/units/index.js';
-import { encode } from '../../src/wire/index.js';
+import { encode, parseSubmission } from '../../src/wire/index.js';
 import { spec } from '../support/jobs.js';
 import { settingsFile } from '../support/settings.js';
 import { ProcessClock, VirtualTime } from '../standin/clock.js';
@@ -24,7 +24,15 @@
   let epoch: Epoch | undefined = Epoch(7);
   let answer = (): void => undefined;
   const later = (): Promise<Answer> => new Promise((r) => (answer = () => r(found)));
-  const term = { epoch, isClosed: false, isReady: true, find: later, abort: later, submit: later };
+  const term = {
+    epoch,
+    isClosed: false,
+    isReady: true,
+    find: later,
+    abort: later,
+    submit: later,
+    beat: () => ({ baton: 7, orders: [] }),
+  };
   const election = { authority: () => epoch, leader: () => NodeId('node-0') };
   const catalog = new Catalog();
   catalog.update(flavors);
@@ -39,7 +47,7 @@
     { hints: () => undefined, ping: () => Buffer.alloc(0), alone: () => false },
   );
   service.term = term as unknown as Term;
-  return { service, lose: () => (epoch = undefined), answer: () => answer() };
+  return { service, term, lose: () => (epoch = undefined), answer: () => answer() };
 }
 
 void test('an answer that rests on authority is given under it to the end', async () => {
@@ -65,3 +73,70 @@
     }
   }
 });
+
+void test('submissions that can not run, or lack something, are refused by every node alike', () => {
+  const settings = parseSettings(settingsFile(0));
+  const catalog = new Catalog();
+  catalog.update(flavors);
+  const one = new Catalog();
+  one.update(flavors.map((f) => ({ ...f, halls: ['a'] })));
+  const ok = spec({});
+  const cases: [string, unknown, number][] = [
+    ['as it should be', ok, 0],
+    [
+      'nulls that may be missing',
+      { ...ok, builds: undefined, hall: undefined, due_s: undefined },
+      0,
+    ],
+    ['apart in one zone: in turns', spec({ apart: true, hall: 'a', entries: 5 }), 0],
+    ['apart and together: in turns', spec({ apart: true, together: true, entries: 5 }), 0],
+    ['a gang apart and together', spec({ shape: 'ensemble', apart: true, together: true }), 422],
+    ['a gang of one', spec({ shape: 'ensemble', apart: true, together: true, entries: 1 }), 0],
+    ['a gang apart in one zone', spec({ shape: 'ensemble', apart: true, hall: 'a' }), 422],
+    ['a gang above its limit', spec({ shape: 'ensemble', entries: 5, vcpus: 8 }), 422],
+    ['an array above its limit', spec({ entries: 5, vcpus: 8 }), 0],
+    ['a task above its limit', spec({ vcpus: 25 }), 422],
+    ['a task too large', spec({ ram_gb: 33 }), 422],
+    ['gpus that nobody has', spec({ gpus: 1 }), 422],
+    ['an unknown team', spec({ desk: 'nobody' }), 422],
+    ['no such type', spec({ builds: ['huge'] }), 422],
+    ['no type at all', spec({ builds: [] }), 422],
+    ['no such zone', spec({ hall: 'z' }), 422],
+    ['no tasks', spec({ entries: 0 }), 400],
+    ['half a task', spec({ entries: 1.5 }), 400],
+    ['too many tasks', spec({ entries: 100_001 }), 400],
+    ['no processor', spec({ vcpus: 0 }), 400],
+    ['less than none', spec({ ram_gb: -1 }), 400],
+    ['no number', spec({ vcpus: NaN }), 400],
+    ['without end', spec({ expected_s: Infinity }), 400],
+    ['an id of another form', spec({ name_id: 'job-1' }), 400],
+    ['a number as a text', { ...ok, vcpus: '2' }, 400],
+    ['null where none may be', { ...ok, loaners: null }, 400],
+    ...Object.keys(ok)
+      .filter((k) => !['builds', 'hall', 'due_s'].includes(k))
+      .map((k): [string, unknown, number] => [`no ${k}`, { ...ok, [k]: undefined }, 400]),
+    ['not a map', [ok], 400],
+  ];
+  for (const [name, body, status] of cases) {
+    const parsed = parseSubmission(encode(body));
+    const verdict = parsed.ok ? catalog.judge(parsed.value, settings.teams) : undefined;
+    const got = !parsed.ok ? 400 : typeof verdict === 'object' ? 422 : 0;
+    assert.equal(got, status, name);
+  }
+  const gang = parseSubmission(encode(spec({ shape: 'ensemble', apart: true })));
+  assert.ok(gang.ok && typeof one.judge(gang.value, settings.teams) === 'object');
+});
+
+void test('a report gets no 200 before the leader knows which jobs are cancelled', async () => {
+  for (const ready of [true, false]) {
+    const { service, term } = leading({ kind: 'absent' });
+    let became = (): void => undefined;
+    Object.assign(term, { isReady: false, rebuilt: new Promise<void>((r) => (became = r)) });
+    const beat = { box: 'vm-1', addr: '', build: 'small', hall: 'a', loaners: true, entries: [] };
+    const answer = service.beat(encode({ ...beat, shift: 1, tally: 1, baton: 0, recall_s: null }));
+    await Promise.resolve();
+    term.isReady = ready;
+    became();
+    assert.equal((await answer).status, ready ? 200 : 503);
+  }
+});
