Small leaders have workers report through the other nodes

Now the others take the requests, one connection each brings them to the leader, which alone answers, and frames written in one turn leave together. Tests: both ways in every meeting, test/unit/service.test.ts.

--- a/src/api/service.ts
+++ b/src/api/service.ts
@@ -45,6 +45,8 @@
   ping(body: Buffer): Buffer;
   /** Cut off from the state service and from every other node, while it may be the only one that is. */
   alone(): boolean;
+  /** The leader wants workers to report through the other nodes. */
+  spread(): boolean;
 }
 
 /** A node that gets no answer in time takes the job in itself, and the record settles it. */
@@ -63,15 +65,16 @@
 const PATIENCE = ms(2500);
 /** A worker that we sent to the leader and that is back this soon can't reach it. */
 const BOUNCE = seconds(9);
-const RELAY_FOR = seconds(20);
+const STAYS = seconds(20);
+const MOST_REDIRECTED = 4000;
 
 const later503: Reply = { status: 503, retryAfter: 1 };
 const cutOff503: Reply = { status: 503, retryAfter: 1, close: true };
 const notFound: Reply = { status: 404, body: { error: 'no such job' } };
 
 interface Sent {
-  at: SteadyMs;
-  relayUntil: SteadyMs | undefined;
+  readonly at: SteadyMs;
+  stays: SteadyMs | undefined;
 }
 
 /**
@@ -358,6 +361,10 @@
     if (term) {
       // It has seen a newer token than ours: we have no right to act any more.
       if (parsed.data.baton > term.epoch) return { status: 503 };
+      const other = relayed || !term.spreads ? undefined : this.carrier(parsed.data.box);
+      if (other !== undefined && !this.isBack(parsed.data.box as MachineId)) {
+        return { status: 421, body: { clerk: other } };
+      }
       // A 200 keeps all tasks of the worker alive: none before we know which of them are cancelled, or
       // leaders that end one after the other before they know would keep those beyond their time.
       if (!term.isReady) {
@@ -374,15 +381,44 @@
     return this.sendOn(parsed.data.box as MachineId, node, body);
   }
 
-  /** A worker is sent to the leader; one that can't reach it is heard through this node. */
-  private async sendOn(id: MachineId, node: NodeId, body: Buffer): Promise<Reply> {
+  /** The node through which a worker reports to us; none if no other answers. */
+  private carrier(box: string): NodeId | undefined {
+    const nodes = [...this.peers].filter(([, p]) => p.responsive).map(([n]) => n);
+    let sum = 0;
+    for (let i = 0; i < box.length; i++) sum = (sum * 31 + box.charCodeAt(i)) >>> 0;
+    return nodes[sum % Math.max(1, nodes.length)];
+  }
+
+  /**
+   * Whether a worker that was sent on is back so soon that it can't reach where it was sent: then it
+   * stays with us for a while. If it is not, it is sent on now.
+   */
+  private isBack(id: MachineId): boolean {
     const now = this.clock.steady();
     const sent = this.redirected.get(id);
-    const cutOff =
+    if (
       sent !== undefined &&
-      (sent.relayUntil !== undefined ? now < sent.relayUntil : since(sent.at, now) < BOUNCE);
-    if (cutOff) {
-      sent.relayUntil ??= later(now, RELAY_FOR);
+      (sent.stays === undefined ? since(sent.at, now) < BOUNCE : now < sent.stays)
+    ) {
+      sent.stays ??= later(now, STAYS);
+      return true;
+    }
+    this.redirected.set(id, { at: now, stays: undefined });
+    if (this.redirected.size > MOST_REDIRECTED) {
+      for (const [key, s] of this.redirected) {
+        if (since(s.at, now) > seconds(60)) this.redirected.delete(key);
+      }
+    }
+    return false;
+  }
+
+  /**
+   * A worker is sent to the leader; one that can't reach it, or that the leader wants to report through
+   * the other nodes, is heard through this node.
+   */
+  private async sendOn(id: MachineId, node: NodeId, body: Buffer): Promise<Reply> {
+    const carried = this.around.spread() && this.leader() !== undefined;
+    if (carried || this.isBack(id)) {
       const told = await this.leader()?.ask(
         { kind: 'beat', method: 'POST', path: '', body },
         RELAY_BEAT,
@@ -390,12 +426,6 @@
       if (!told) return { status: 503 };
       return { status: told.status, ...(told.body.length > 0 ? { body: decode(told.body) } : {}) };
     }
-    this.redirected.set(id, { at: now, relayUntil: undefined });
-    if (this.redirected.size > 500) {
-      for (const [key, s] of this.redirected) {
-        if (since(s.at, now) > seconds(60)) this.redirected.delete(key);
-      }
-    }
     return { status: 421, body: { clerk: node } };
   }
 
--- a/src/leader/deps.ts
+++ b/src/leader/deps.ts
@@ -26,4 +26,6 @@
   /** The images on machines as the leader before told them; and how to tell the other nodes. */
   readonly hints: HintBook;
   readonly tellHints: (hints: Hints) => void;
+  /** Whether workers reported through the other nodes before this term. */
+  readonly spread: () => boolean;
 }
--- /dev/null
+++ b/src/leader/spread.ts
@@ -0,0 +1,27 @@
+import type { DurationMs } from '../units/index.js';
+
+/**
+ * About what a report that comes straight from its worker costs a leader, in processor time, all in
+ * all: the request, the orders that answer it, and the work that it brings.
+ */
+const REPORT_COST_MS = 1;
+/** Of its share of a processor, what reports may take before the other nodes carry them, and until. */
+const FROM = 1.1;
+const UNTIL = 0.8;
+
+export interface Load {
+  readonly machines: number;
+  readonly report: DurationMs;
+  /** The share of a processor that a node has. */
+  readonly cpu: number;
+}
+
+/**
+ * Whether workers report through the other nodes. Requests of hundreds of workers, each on a connection
+ * of its own, cost a small leader more than what they say: then the others take them, and hand them on
+ * over the one connection that they have to the leader, which alone answers.
+ */
+export function spreads(now: boolean, { machines, report, cpu }: Load): boolean {
+  const share = (machines * REPORT_COST_MS) / report / cpu;
+  return share > (now ? UNTIL : FROM);
+}
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -24,6 +24,7 @@
 import { HintTeller } from './hints.js';
 import { Orders } from './orders.js';
 import { Reports } from './reports.js';
+import { spreads } from './spread.js';
 
 const TICK = ms(500);
 /** So much later than it was due, a tick shows that this process does not keep up. */
@@ -57,6 +58,7 @@
   private hintsSent: SteadyMs;
   private fleetTold: SteadyMs;
   private ruled = true;
+  private spreading: boolean;
   private listening: SteadyMs;
   private ticked: SteadyMs;
   private closed = false;
@@ -75,6 +77,7 @@
     this.ticked = began;
     this.hintsSent = began;
     this.fleetTold = began;
+    this.spreading = deps.spread();
     this.rebuilt = new Promise((resolve) => (this.stopWaiting = resolve));
     clock.after(MOST_REBUILD_WAIT, () => this.stopWaiting());
     this.ledger = new Ledger(deps.store, epoch, settings.state.txnOps, clock, random, log, {
@@ -164,6 +167,11 @@
     this.tick();
   }
 
+  /** Whether workers are to report through the other nodes. */
+  get spreads(): boolean {
+    return this.spreading;
+  }
+
   private tick(): void {
     if (this.closed) return;
     const now = this.deps.clock.steady();
@@ -176,6 +184,13 @@
       this.ruled = ruling;
       this.expire();
       if (ruling) {
+        const { workers, limits } = this.deps.settings;
+        const load = {
+          machines: this.fleet.machines.size,
+          report: workers.report,
+          cpu: limits.cpu,
+        };
+        this.spreading = spreads(this.spreading, load);
         this.sendHints();
         this.tellFleet();
         this.dispatch.wake();
--- a/src/node.ts
+++ b/src/node.ts
@@ -84,6 +84,7 @@
             deposed: (e) => this.election.deposed(e),
             hints: this.hints,
             tellHints: (hints) => this.tellHints(hints),
+            spread: () => this.pulses.spread,
           });
           term.capacity.onCatalog = () => void this.keepCatalog();
           this.term = term;
@@ -91,6 +92,7 @@
           void term.start().catch((e: unknown) => log.error({ err: e }, 'rebuild failed'));
         },
         lost: () => {
+          this.pulses.spread = this.term?.spreads ?? false;
           this.term?.close();
           this.term = undefined;
           this.service.term = undefined;
@@ -109,6 +111,7 @@
         hints: (body) => this.takeHints(body),
         ping: (body) => this.pulses.answer(body),
         alone: () => this.pulses.alone(this.store.servedAt),
+        spread: () => this.pulses.spread,
       },
     );
     this.pulses = new Pulses(
@@ -118,6 +121,7 @@
         leader: this.election.leader() ?? '',
         epoch: this.election.leaderEpoch(),
         store: recently(this.store.servedAt, clock.steady()),
+        spread: this.term?.spreads ?? this.pulses.spread,
       }),
       (pulse) => {
         if (pulse.leader !== '') this.election.heard(NodeId(pulse.leader), pulse.epoch);
--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -55,6 +55,8 @@
   readonly epoch: number;
   /** Whether the state service served it lately. */
   readonly store: boolean;
+  /** Whether workers are to report through the other nodes: the leader's word, as far as it is known. */
+  readonly spread: boolean;
 }
 
 const PulseType = avro.Type.forSchema({
@@ -64,6 +66,7 @@
     { name: 'leader', type: 'string' },
     { name: 'epoch', type: 'long' },
     { name: 'store', type: 'boolean' },
+    { name: 'spread', type: 'boolean' },
   ],
 });
 
@@ -86,8 +89,10 @@
 /** A body of 64 KiB and what goes around it; anything longer is not one of ours. */
 const MAX_FRAME = 80 * 1024;
 
-/** Puts a length before each chunk written. */
+/** Puts a length before each chunk written. What is written in one turn leaves together. */
 export class Framer extends Transform {
+  private parts: Buffer[] = [];
+
   constructor() {
     super({ writableObjectMode: true });
   }
@@ -95,8 +100,19 @@
   override _transform(chunk: Buffer, _encoding: string, done: TransformCallback): void {
     const head = Buffer.allocUnsafe(4);
     head.writeUInt32BE(chunk.length);
-    this.push(head);
-    done(null, chunk);
+    if (this.parts.length === 0) setImmediate(() => this.leave());
+    this.parts.push(head, chunk);
+    done();
+  }
+
+  private leave(): void {
+    if (this.parts.length > 0 && !this.destroyed) this.push(Buffer.concat(this.parts));
+    this.parts = [];
+  }
+
+  override _flush(done: TransformCallback): void {
+    this.leave();
+    done();
   }
 }
 
--- a/src/peer/pulses.ts
+++ b/src/peer/pulses.ts
@@ -50,6 +50,9 @@
     private readonly heard: (pulse: Pulse) => void,
   ) {}
 
+  /** The last leader's word on how workers report; it holds until another leader says otherwise. */
+  spread = false;
+
   start(): void {
     for (const [node, peer] of this.peers) this.keep(node, peer);
   }
@@ -67,6 +70,7 @@
         const pulse = told && decodePulse(told.body);
         if (!pulse) return;
         this.words.set(node, { at: this.clock.steady(), pulse });
+        if (pulse.leader === node) this.spread = pulse.spread;
         this.heard(pulse);
       })
       .finally(() => this.clock.after(PING_EVERY, () => this.keep(node, peer)));
--- a/test/sim/meetings.test.ts
+++ b/test/sim/meetings.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { settle } from '../standin/day.js';
+import { TINY_CPU, settle } from '../standin/day.js';
 import { World } from '../standin/world.js';
 
 /** What meets what, as one world plays it; the rules are checked as it runs and after all has healed. */
@@ -356,7 +356,9 @@
 for (const m of meetings) {
   void test(m.name, async () => {
     for (const seed of m.seeds) {
-      const world = new World({ seed: 5000 + seed, cpusMax: m.cpusMax ?? 24 });
+      // With the last seed, workers report through the other nodes.
+      const small = seed === m.seeds.at(-1) ? { cpu: TINY_CPU } : {};
+      const world = new World({ seed: 5000 + seed, cpusMax: m.cpusMax ?? 24, ...small });
       world.cloud.neverUp = 0;
       await m.play(world, seed);
       await settle(world, `${m.name}, seed ${seed}`);
--- a/test/standin/day.ts
+++ b/test/standin/day.ts
@@ -1,6 +1,9 @@
 import assert from 'node:assert/strict';
 import { World } from './world.js';
 
+/** A share of a processor on which a handful of machines is too many. */
+export const TINY_CPU = 0.0005;
+
 /** Lets everything heal and settle, then asserts that no rule was broken and all work was done. */
 export async function settle(world: World, name: string): Promise<void> {
   world.network.loss = 0;
@@ -38,7 +41,8 @@
 
 /** A day on which everything goes wrong, alone and together, by the luck of its seed. */
 export async function badDay(seed: number): Promise<World> {
-  const world = new World({ seed: seed, loss: 0.01 });
+  // On every third, a leader so small that the others take its workers' reports.
+  const world = new World({ seed, loss: 0.01, ...(seed % 3 === 0 ? { cpu: TINY_CPU } : {}) });
   const r = world.random;
   const pick = <T>(list: readonly T[]): T => list[Math.floor(r() * list.length)] as T;
   world.copies(0.02);
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -81,6 +81,8 @@
   readonly loss?: number;
   /** The most processors of its one team; 0: no limit. */
   readonly cpusMax?: number;
+  /** The share of a processor that a controller counts on. */
+  readonly cpu?: number;
 }
 
 /** Three whole controllers among stand-ins, on a virtual clock, with the rules checked as they run. */
@@ -99,6 +101,7 @@
   private readonly settings: Settings;
   private readonly zones: readonly string[];
   private readonly cpusMax: number;
+  private readonly cpu: number | undefined;
   private readonly log: Logger;
   private jobCounter = 0;
   private readonly balancer: Balancer;
@@ -112,6 +115,7 @@
     this.random = () => uniformFloat64(generator);
     this.zones = options.zones ?? ['a', 'b', 'c'];
     this.cpusMax = options.cpusMax ?? TEAM_CPUS;
+    this.cpu = options.cpu;
     this.settings = this.settingsOf(0);
     // What goes wrong inside must not stay unseen behind a passing rule check.
     this.log = pino(
@@ -152,7 +156,8 @@
   private settingsOf(n: number): Settings {
     const file = settingsFile(n, this.zones);
     const teams = file.params.teams.map((t) => ({ ...t, cpus_max: this.cpusMax }));
-    return parseSettings({ ...file, params: { ...file.params, teams } });
+    const limits = { ...file.params.limits, cpu: this.cpu ?? file.params.limits.cpu };
+    return parseSettings({ ...file, params: { ...file.params, teams, limits } });
   }
 
   /** Machines that are there before anything is asked for. */
--- a/test/unit/service.test.ts
+++ b/test/unit/service.test.ts
@@ -5,10 +5,12 @@
 import { Catalog } from '../../src/cloud/catalog.js';
 import type { StoreFront } from '../../src/ledger/front.js';
 import { Job } from '../../src/ledger/job.js';
+import { spreads } from '../../src/leader/spread.js';
+import type { Peer } from '../../src/peer/channel.js';
 import type { Election } from '../../src/leader/election.js';
 import type { Answer, Term } from '../../src/leader/term.js';
 import { parseSettings } from '../../src/config/settings.js';
-import { Epoch, JobId, NodeId, Revision, WallMs } from '../../src/units/index.js';
+import { Epoch, JobId, NodeId, Revision, WallMs, seconds } from '../../src/units/index.js';
 import { encode, parseSubmission } from '../../src/wire/index.js';
 import { spec } from '../support/jobs.js';
 import { settingsFile } from '../support/settings.js';
@@ -34,6 +36,7 @@
     beat: () => ({ baton: 7, orders: [] }),
   };
   const election = { authority: () => epoch, leader: () => NodeId('node-0') };
+  const peers = new Map<NodeId, Peer>();
   const catalog = new Catalog();
   catalog.update(flavors);
   const service = new Service(
@@ -41,13 +44,18 @@
     election as unknown as Election,
     {} as StoreFront,
     catalog,
-    new Map(),
+    peers,
     clock,
     pino({ level: 'silent' }),
-    { hints: () => undefined, ping: () => Buffer.alloc(0), alone: () => false },
+    {
+      hints: () => undefined,
+      ping: () => Buffer.alloc(0),
+      alone: () => false,
+      spread: () => false,
+    },
   );
   service.term = term as unknown as Term;
-  return { service, term, lose: () => (epoch = undefined), answer: () => answer() };
+  return { service, term, peers, lose: () => (epoch = undefined), answer: () => answer() };
 }
 
 void test('an answer that rests on authority is given under it to the end', async () => {
@@ -140,3 +148,39 @@
     assert.equal((await answer).status, ready ? 200 : 503);
   }
 });
+
+void test('whether workers report through the other nodes: neither early nor to and fro', () => {
+  const cases: [machines: number, cpu: number, before: boolean, spread: boolean][] = [
+    [300, 0.2, false, false],
+    [300, 0.05, false, true],
+    [140, 0.05, true, true],
+    [140, 0.05, false, false],
+    [100, 0.05, true, false],
+  ];
+  for (const [machines, cpu, before, spread] of cases) {
+    assert.equal(spreads(before, { machines, report: seconds(3), cpu }), spread, `${machines}`);
+  }
+});
+
+void test('a leader that is too small sends workers to others, and serves those that are back', async () => {
+  const { service, term, peers } = leading({ kind: 'absent' });
+  Object.assign(term, { spreads: true });
+  const body = (box: string) =>
+    encode({
+      box,
+      addr: '',
+      build: 's',
+      hall: 'a',
+      loaners: true,
+      shift: 1,
+      tally: 1,
+      baton: 0,
+      entries: [],
+    });
+  const alone = await service.beat(body('vm-0'));
+  assert.equal(alone.status, 200, 'no other node answers');
+  peers.set(NodeId('node-1'), { responsive: true, ask: () => Promise.resolve(undefined) });
+  assert.deepEqual(await service.beat(body('vm-1')), { status: 421, body: { clerk: 'node-1' } });
+  assert.equal((await service.beat(body('vm-1'))).status, 200, 'it can not reach that one');
+  assert.equal((await service.beat(body('vm-2'), true)).status, 200, 'carried by another node');
+});
