--- a/src/leader/orders.ts
+++ b/src/leader/orders.ts
@@ -45,6 +45,8 @@
   private pushing = false;
   private underWay = 0;
   private closed = false;
+  /** This process is behind: starts are left to the answers to reports, each costs less than a command. */
+  busy = false;
 
   constructor(
     private readonly epoch: Epoch,
@@ -311,7 +313,7 @@
         if (p.stopped) continue;
         p.stopped = true;
         orders.push({ verb: 'kill', entry: key, try: a.attempt, wind_down_s: p.evict });
-      } else if (!p.seen && !p.pushed && !p.sent && !p.inherited && !m.draining) {
+      } else if (!this.busy && !p.seen && !p.pushed && !p.sent && !p.inherited && !m.draining) {
         p.pushed = true;
         // Until it is answered the start may arrive at any time.
         const attempt = attemptKey(key, a.attempt);
--- a/src/leader/spread.ts
+++ b/src/leader/spread.ts
@@ -6,8 +6,8 @@
  */
 const REPORT_COST_MS = 1;
 /** Of its share of a processor, what reports may take before the other nodes carry them, and until. */
-const FROM = 1.1;
-const UNTIL = 0.8;
+const FROM = 0.5;
+const UNTIL = 0.35;
 
 export interface Load {
   readonly machines: number;
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -29,6 +29,8 @@
 const TICK = ms(500);
 /** So much later than it was due, a tick shows that this process does not keep up. */
 const BEHIND = seconds(1);
+/** So much later, that it has no time for what can be left to the answers to reports. */
+const BUSY = ms(150);
 const HINTS_EVERY = seconds(4);
 const FLEET_EVERY = seconds(10);
 const STORE_TIMEOUT = ms(2000);
@@ -182,6 +184,7 @@
       const behind = since(this.ticked, now) > TICK + BEHIND;
       if (ruling && (!this.ruled || behind)) this.listening = now;
       this.ruled = ruling;
+      this.orders.busy = since(this.ticked, now) > TICK + BUSY;
       this.expire();
       if (ruling) {
         const { workers, limits } = this.deps.settings;
--- a/test/unit/orders.test.ts
+++ b/test/unit/orders.test.ts
@@ -40,6 +40,7 @@
   const { lease } = parseSettings(settingsFile()).workers;
   const cases: [name: string, status: number, shift: number, renewed: boolean][] = [
     ['carried out: no report was answered', 200, 1, false],
+    ['none is sent while the process is behind', 0, 1, false],
     ['refused in a new session: it lasts from its beginning', 409, 2, true],
   ];
   for (const [name, status, shift, renewed] of cases) {
@@ -89,9 +90,11 @@
     await time.run(lease);
     const before = m.expires;
     assert.ok(clock.steady() <= before);
+    orders.busy = status === 0;
     orders.push(id);
     await time.run(lease + 10);
     assert.equal(m.report?.shift, shift, name);
+    assert.equal(m.report?.tally, status === 0 ? 9 : 12, name);
     assert.equal(m.expires > before, renewed, name);
     if (renewed) assert.ok(m.expires >= lease * 2, name);
   }
--- /dev/null
+++ b/test/unit/reports.test.ts
@@ -0,0 +1,63 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { pino } from 'pino';
+import { Fleet } from '../../src/fleet/fleet.js';
+import { toReport } from '../../src/fleet/machine.js';
+import type { Board } from '../../src/leader/board.js';
+import type { TermDeps } from '../../src/leader/deps.js';
+import type { Orders } from '../../src/leader/orders.js';
+import { Reports } from '../../src/leader/reports.js';
+import { Job } from '../../src/ledger/job.js';
+import {
+  Epoch,
+  JobId,
+  MachineId,
+  Revision,
+  SteadyMs,
+  WallMs,
+  seconds,
+} from '../../src/units/index.js';
+import { spec } from '../support/jobs.js';
+import { ProcessClock, VirtualTime } from '../standin/clock.js';
+
+void test('a job that fails is held back, and kept off machines, for a minute at most', async () => {
+  const time = new VirtualTime();
+  const clock = new ProcessClock(time, 0, 0);
+  const fleet = new Fleet({
+    began: SteadyMs(0),
+    lease: seconds(24),
+    cacheOf: () => 20,
+    hinted: () => [],
+    sizeOf: () => undefined,
+  });
+  const job = new Job(JobId('run-000001'), spec({ entries: 1 }), WallMs(0), Revision(1));
+  const board = {
+    fleet,
+    ledger: { jobs: new Map([[job.id, job]]) },
+    unplace: (j: Job, index: number) => j.unplace(index),
+  };
+  const deps = { clock, log: pino({ level: 'silent' }) };
+  const reports = new Reports(
+    Epoch(5),
+    board as unknown as Board,
+    {} as Orders,
+    deps as unknown as TermDeps,
+    () => undefined,
+  );
+  for (let i = 0; i < 15; i++) {
+    const id = MachineId(`vm-${i % 3}`);
+    const m = fleet.meet(id, { build: 'small', hall: 'a', spot: true }, '');
+    job.place([{ index: 0, machine: id }], clock.steady());
+    const attempt = job.placed.get(0)?.attempt ?? 0;
+    const entry = { entry: `${job.id}/0`, try: attempt, status: 'exited', cause: 'error' };
+    const beat = { shift: 1, tally: i, baton: 5, recall_s: null, entries: [entry] };
+    reports.observe(m, toReport(beat), true);
+    assert.equal(job.placed.size, 0);
+    const most = clock.steady() + seconds(60);
+    for (const until of [job.heldUntil, m.heldUntil, ...job.faultyOn.values()]) {
+      assert.ok(until <= most, `failure ${i}: held until ${until} of ${most}`);
+    }
+    await time.run(time.now + 70_000);
+  }
+  assert.ok(job.holds > 0);
+});
