--- /dev/null
+++ b/test/support/fleet.ts
@@ -0,0 +1,12 @@
+import { Fleet } from '../../src/fleet/fleet.js';
+import { SteadyMs, type DurationMs } from '../../src/units/index.js';
+
+/** A fleet that knows nothing yet, under an epoch that has just begun. */
+export const emptyFleet = (lease: DurationMs): Fleet =>
+  new Fleet({
+    began: SteadyMs(0),
+    lease,
+    cacheOf: () => 20,
+    hinted: () => [],
+    sizeOf: () => undefined,
+  });
--- a/test/unit/orders.test.ts
+++ b/test/unit/orders.test.ts
@@ -2,21 +2,13 @@
 import { test } from 'node:test';
 import { pino } from 'pino';
 import { parseSettings } from '../../src/config/settings.js';
-import { Fleet } from '../../src/fleet/fleet.js';
 import { leaseEnd, toReport } from '../../src/fleet/machine.js';
 import type { Board } from '../../src/leader/board.js';
 import type { TermDeps } from '../../src/leader/deps.js';
 import { Orders } from '../../src/leader/orders.js';
 import { Job } from '../../src/ledger/job.js';
-import {
-  Epoch,
-  JobId,
-  MachineId,
-  Revision,
-  SteadyMs,
-  WallMs,
-  taskKey,
-} from '../../src/units/index.js';
+import { Epoch, JobId, MachineId, Revision, WallMs, taskKey } from '../../src/units/index.js';
+import { emptyFleet } from '../support/fleet.js';
 import { spec } from '../support/jobs.js';
 import { settingsFile } from '../support/settings.js';
 import { ProcessClock, VirtualTime } from '../standin/clock.js';
@@ -47,13 +39,7 @@
     const time = new VirtualTime();
     const clock = new ProcessClock(time, 0, 0);
     const settings = parseSettings(settingsFile());
-    const fleet = new Fleet({
-      began: SteadyMs(0),
-      lease,
-      cacheOf: () => 20,
-      hinted: () => [],
-      sizeOf: () => undefined,
-    });
+    const fleet = emptyFleet(lease);
     const m = fleet.meet(id, { build: 'small', hall: 'a', spot: true }, beat.addr);
     m.take(toReport(beat), clock.steady());
     m.answered(leaseEnd(clock.steady(), lease));
--- a/test/unit/reports.test.ts
+++ b/test/unit/reports.test.ts
@@ -1,35 +1,21 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { pino } from 'pino';
-import { Fleet } from '../../src/fleet/fleet.js';
 import { toReport } from '../../src/fleet/machine.js';
 import type { Board } from '../../src/leader/board.js';
 import type { TermDeps } from '../../src/leader/deps.js';
 import type { Orders } from '../../src/leader/orders.js';
 import { Reports } from '../../src/leader/reports.js';
 import { Job } from '../../src/ledger/job.js';
-import {
-  Epoch,
-  JobId,
-  MachineId,
-  Revision,
-  SteadyMs,
-  WallMs,
-  seconds,
-} from '../../src/units/index.js';
+import { Epoch, JobId, MachineId, Revision, WallMs, seconds } from '../../src/units/index.js';
+import { emptyFleet } from '../support/fleet.js';
 import { spec } from '../support/jobs.js';
 import { ProcessClock, VirtualTime } from '../standin/clock.js';
 
 void test('a job that fails is held back, and kept off machines, for a minute at most', async () => {
   const time = new VirtualTime();
   const clock = new ProcessClock(time, 0, 0);
-  const fleet = new Fleet({
-    began: SteadyMs(0),
-    lease: seconds(24),
-    cacheOf: () => 20,
-    hinted: () => [],
-    sizeOf: () => undefined,
-  });
+  const fleet = emptyFleet(seconds(24));
   const job = new Job(JobId('run-000001'), spec({ entries: 1 }), WallMs(0), Revision(1));
   const board = {
     fleet,
