--- a/src/api/app.ts
+++ b/src/api/app.ts
@@ -1,35 +1,44 @@
+/** The HTTP side of users, workers and health checks. */
 import Koa from 'koa';
 import type { Logger } from 'pino';
 import { gather } from '../net/http.js';
 import { CONTENT_TYPE, MAX_BODY, encode } from '../wire/index.js';
-import type { Reply, Service } from './service.js';
+import { METHOD_NOT_ALLOWED, TRY_AGAIN, type Reply } from './reply.js';
+import type { UserRequests } from './user-requests.js';
+import type { WorkerReports } from './worker-reports.js';
 
-/** The HTTP side of users, workers and health checks. */
-export function createApp(service: Service, log: Logger): Koa {
+/** What answers the requests of each kind. */
+export interface Endpoints {
+  readonly users: Pick<UserRequests, 'handle'>;
+  readonly workers: Pick<WorkerReports, 'handle'>;
+  health(): Reply;
+}
+
+export function createApp(endpoints: Endpoints, log: Logger): Koa {
   const app = new Koa();
   app.on('error', (e: Error) => log.debug({ err: e.message }, 'connection error'));
   app.use(async (ctx) => {
-    const reply = await answer(service, ctx, log);
+    const reply = await answer(endpoints, ctx, log);
     ctx.status = reply.status;
     if (reply.retryAfter !== undefined) ctx.set('Retry-After', String(reply.retryAfter));
     if (reply.close) ctx.set('Connection', 'close');
     ctx.type = CONTENT_TYPE;
-    ctx.body = encode(reply.body ?? {});
+    ctx.body = Buffer.isBuffer(reply.body) ? reply.body : encode(reply.body ?? {});
   });
   return app;
 }
 
-async function answer(service: Service, ctx: Koa.Context, log: Logger): Promise<Reply> {
+async function answer(endpoints: Endpoints, ctx: Koa.Context, log: Logger): Promise<Reply> {
   try {
-    if (ctx.path === '/up') return ctx.method === 'GET' ? service.up() : { status: 405 };
+    if (ctx.path === '/up') return ctx.method === 'GET' ? endpoints.health() : METHOD_NOT_ALLOWED;
     const body = await gather(ctx.req, MAX_BODY);
     if (!body) return { status: 400, body: { error: 'body over 64 KiB' } };
     if (ctx.path === '/agent/beat') {
-      return ctx.method === 'POST' ? await service.beat(body) : { status: 405 };
+      return ctx.method === 'POST' ? await endpoints.workers.handle(body) : METHOD_NOT_ALLOWED;
     }
-    return await service.user(ctx.method, ctx.path, body);
+    return await endpoints.users.handle(ctx.method, ctx.path, body);
   } catch (e) {
     log.error({ err: e }, 'request failed');
-    return { status: 503, retryAfter: 1 };
+    return TRY_AGAIN;
   }
 }
--- /dev/null
+++ b/src/api/worker-reports.ts
@@ -0,0 +1,185 @@
+/**
+ * Workers' reports: answered by the leader under its authority, passed on to it by the other nodes.
+ * Only the leader causes a 200, since that renews the lease of all tasks on a machine.
+ */
+import type { Settings } from '../config/settings.js';
+import type { Term } from '../leader/term.js';
+import type { PeerResponse, RelayedReport, ReportResponse } from '../peer/messages.js';
+import type { ReportRelay } from '../relay/report-relay.js';
+import {
+  MachineId,
+  later,
+  seconds,
+  since,
+  type Clock,
+  type NodeId,
+  type SteadyMs,
+} from '../units/index.js';
+import { Beat, decode } from '../wire/index.js';
+import type { Leadership } from './leadership.js';
+import { NOT_AUTHORISED, type Reply } from './reply.js';
+
+/** A leader that ended is known to have after about its lease: one that is silent for longer is cut off. */
+const LEADER_CUT_OFF = seconds(5);
+/** A worker that was redirected and is back this soon can't reach the node that it was sent to. */
+const REDIRECT_BOUNCE = seconds(9);
+/** For so long such a worker is served here. */
+const SERVED_AFTER_BOUNCE = seconds(20);
+const MAX_REDIRECTS_KEPT = 4000;
+const REDIRECT_FORGOTTEN = seconds(60);
+
+interface Redirect {
+  readonly at: SteadyMs;
+  servedUntil: SteadyMs | undefined;
+}
+
+const REFUSED: ReportResponse = { outcome: 'refused', baseline: 0, orders: [] };
+const BASELINE_UNKNOWN: ReportResponse = { outcome: 'baselineUnknown', baseline: 0, orders: [] };
+
+export class WorkerReports {
+  private readonly redirects = new Map<MachineId, Redirect>();
+  /** Since when the leader that we know of has not answered us. */
+  private leaderSilentSince: SteadyMs | undefined;
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly leadership: Leadership,
+    private readonly relay: ReportRelay,
+    private readonly clock: Clock,
+    private readonly isIsolated: () => boolean,
+  ) {}
+
+  /** A report that came straight from its worker. */
+  async handle(body: Buffer): Promise<Reply> {
+    const report = parseReport(body);
+    if (!report) return { status: 400, body: { error: 'not a report' } };
+    const term = this.leadership.authorisedTerm();
+    if (term) return this.answerHere(report, term);
+    // The node that we take for the leader may be gone for long.
+    if (this.isIsolated()) return NOT_AUTHORISED;
+    const leader = this.leaderCutOff();
+    // The worker may reach the leader where we don't.
+    if (leader !== undefined && !this.isBack(report.box)) return redirectTo(leader);
+    const reply = await this.relay.send(report, body.length);
+    if (reply) return { status: 200, body: reply };
+    const own = this.leadership.authorisedTerm();
+    return own ? this.answerHere(report, own) : NOT_AUTHORISED;
+  }
+
+  /** The leader, if it is another node that we have not reached for longer than a dead one would stand. */
+  private leaderCutOff(): NodeId | undefined {
+    const leader = this.leadership.leaderNode();
+    if (leader === undefined || leader === this.settings.node || this.leadership.leaderPeer()) {
+      this.leaderSilentSince = undefined;
+      return undefined;
+    }
+    const now = this.clock.steady();
+    this.leaderSilentSince ??= now;
+    return since(this.leaderSilentSince, now) > LEADER_CUT_OFF ? leader : undefined;
+  }
+
+  private async answerHere(report: Beat, term: Term): Promise<Reply> {
+    // It has seen a newer token than ours: we have no right to act any more.
+    if (report.baton > term.epoch) return NOT_AUTHORISED;
+    const follower = term.redirectsWorkers ? this.followerFor(report.box) : undefined;
+    if (follower !== undefined && !this.isBack(report.box)) return redirectTo(follower);
+    if (!(await this.isRebuilt(term))) return NOT_AUTHORISED;
+    const reply = term.takeReport(report);
+    return this.leadership.authorisedTerm() === term
+      ? { status: 200, body: reply }
+      : NOT_AUTHORISED;
+  }
+
+  /**
+   * A 200 keeps all tasks of a worker alive: none before we know which of them are cancelled, or
+   * leaders that end one after the other before they know would keep those beyond their time.
+   */
+  private async isRebuilt(term: Term): Promise<boolean> {
+    if (!term.isReady) await term.rebuilt;
+    return term.isReady && this.leadership.authorisedTerm() === term;
+  }
+
+  /** Reports that another node passed on. */
+  async handleRelayed(
+    sender: NodeId,
+    epoch: number,
+    reports: readonly RelayedReport[],
+  ): Promise<PeerResponse> {
+    const term = this.leadership.authorisedTerm();
+    if (!term || !(await this.isRebuilt(term))) return allRefused(reports.length);
+    const responses = reports.map((r) => this.takeRelayed(term, sender, epoch, r));
+    // A 200 may follow from this response only if authority stands now that all of them are taken.
+    if (this.leadership.authorisedTerm() !== term) return allRefused(reports.length);
+    return { type: 'reportResponses', epoch: term.epoch, responses };
+  }
+
+  private takeRelayed(
+    term: Term,
+    sender: NodeId,
+    epoch: number,
+    relayed: RelayedReport,
+  ): ReportResponse {
+    if (relayed.kind === 'full') {
+      if (relayed.report.baton > term.epoch) return REFUSED;
+      const { reply, baseline } = term.takeRelayedReport(relayed.report, sender);
+      return { outcome: 'accepted', baseline, orders: reply.orders };
+    }
+    if (relayed.token > term.epoch) return REFUSED;
+    if (epoch !== term.epoch) return BASELINE_UNKNOWN;
+    const reply = term.takeUnchangedReport(relayed, sender);
+    if (!reply) return BASELINE_UNKNOWN;
+    return { outcome: 'accepted', baseline: relayed.unchangedSince, orders: reply.orders };
+  }
+
+  /** The node through which a worker is to report; none if no other answers. */
+  private followerFor(machine: string): NodeId | undefined {
+    const nodes = this.leadership.responsivePeers();
+    let hash = 0;
+    for (let i = 0; i < machine.length; i++) hash = (hash * 31 + machine.charCodeAt(i)) >>> 0;
+    return nodes[hash % Math.max(1, nodes.length)];
+  }
+
+  /**
+   * Whether a worker that was redirected is back so soon that it can't reach where it was sent: then it
+   * is served here for a while. Otherwise it counts as redirected now.
+   */
+  private isBack(machine: string): boolean {
+    const id = MachineId(machine);
+    const now = this.clock.steady();
+    const redirect = this.redirects.get(id);
+    if (redirect && isServedHere(redirect, now)) {
+      redirect.servedUntil ??= later(now, SERVED_AFTER_BOUNCE);
+      return true;
+    }
+    this.redirects.set(id, { at: now, servedUntil: undefined });
+    this.forgetRedirects(now);
+    return false;
+  }
+
+  private forgetRedirects(now: SteadyMs): void {
+    if (this.redirects.size <= MAX_REDIRECTS_KEPT) return;
+    for (const [id, { at }] of this.redirects) {
+      if (since(at, now) > REDIRECT_FORGOTTEN) this.redirects.delete(id);
+    }
+  }
+}
+
+const isServedHere = ({ at, servedUntil }: Redirect, now: SteadyMs): boolean =>
+  servedUntil === undefined ? since(at, now) < REDIRECT_BOUNCE : now < servedUntil;
+
+const redirectTo = (node: NodeId): Reply => ({ status: 421, body: { clerk: node } });
+
+const allRefused = (count: number): PeerResponse => ({
+  type: 'reportResponses',
+  epoch: 0,
+  responses: Array.from({ length: count }, () => REFUSED),
+});
+
+function parseReport(body: Buffer): Beat | undefined {
+  try {
+    const parsed = Beat.safeParse(decode(body));
+    return parsed.success ? parsed.data : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -20,7 +20,7 @@
   /** The size of a machine type's image cache; undefined as long as it is not known. */
   readonly cacheOf: (build: string) => number | undefined;
   /** What the leader before thought to be in a machine's cache. */
-  readonly hinted: (id: MachineId) => readonly (readonly [image: string, gb: number])[];
+  readonly hinted: (id: MachineId) => readonly { readonly name: string; readonly gb: number }[];
   readonly sizeOf: (job: JobId) => Size | undefined;
 }
 
@@ -45,7 +45,7 @@
     if (cache !== undefined && !m.hinted) {
       m.hinted = true;
       m.images.resize(cache);
-      for (const [image, gb] of this.deps.hinted(id)) m.uses(image, gb);
+      for (const { name, gb } of this.deps.hinted(id)) m.uses(name, gb);
     }
     if (addr !== '') m.addr = Endpoint(addr);
     return m;
--- a/src/fleet/images.ts
+++ b/src/fleet/images.ts
@@ -24,8 +24,8 @@
     }
   }
 
-  list(): [string, number][] {
-    return [...this.held];
+  list(): { name: string; gb: number }[] {
+    return Array.from(this.held, ([name, gb]) => ({ name, gb }));
   }
 
   has(image: string): boolean {
--- a/src/fleet/machine.ts
+++ b/src/fleet/machine.ts
@@ -10,6 +10,7 @@
   type Epoch,
   type JobId,
   type MachineId,
+  type NodeId,
   type SteadyMs,
   type TaskKey,
 } from '../units/index.js';
@@ -53,6 +54,8 @@
   readonly entries: readonly Entry[];
   /** The entries by attempt, so that each is found without a look at all. */
   readonly byAttempt: ReadonlyMap<string, Entry>;
+  /** By which a follower refers to it when a later report shows the same; none if it came another way. */
+  readonly baseline?: number;
 }
 
 export const attemptKey = (entry: string, attempt: number): string => `${entry}#${attempt}`;
@@ -74,6 +77,8 @@
  */
 export class Machine {
   addr: Endpoint | undefined;
+  /** The other node that its reports come through; none if they come straight to the leader. */
+  reportsThrough: NodeId | undefined;
   report: Report | undefined;
   /** Sessions before this one are certainly over; what they send is stale. */
   leastShift = 0;
--- a/src/leader/deps.ts
+++ b/src/leader/deps.ts
@@ -6,8 +6,10 @@
 import type { HttpClient } from '../net/http.js';
 import type { StoreClient } from '../store/client.js';
 import type { StoreFront } from '../ledger/front.js';
-import type { HintBook, Hints } from './hints.js';
-import type { Clock, Epoch, Random } from '../units/index.js';
+import type { Peer } from '../peer/channel.js';
+import type { MachineImages } from '../peer/messages.js';
+import type { Clock, Epoch, NodeId, Random } from '../units/index.js';
+import type { ImageHints } from './image-hints.js';
 
 export interface TermDeps {
   readonly settings: Settings;
@@ -24,8 +26,8 @@
   readonly authority: () => Epoch | undefined;
   readonly deposed: (epoch: Epoch) => void;
   /** The images on machines as the leader before told them; and how to tell the other nodes. */
-  readonly hints: HintBook;
-  readonly tellHints: (hints: Hints) => void;
-  /** Whether workers reported through the other nodes before this term. */
-  readonly spread: () => boolean;
+  readonly imageHints: ImageHints;
+  readonly tellImages: (machines: readonly MachineImages[]) => void;
+  /** The ways to the other nodes, through which workers report and get commands. */
+  readonly peers: ReadonlyMap<NodeId, Peer>;
 }
--- a/src/leader/orders.ts
+++ b/src/leader/orders.ts
@@ -18,8 +18,9 @@
   type JobId,
   type MachineId,
 } from '../units/index.js';
-import type { Outcome } from '../net/http.js';
-import { Beat, type Entry, type Order } from '../wire/index.js';
+import type { CommandOutcome } from '../peer/messages.js';
+import { callWorker, callWorkerThrough } from '../relay/worker-call.js';
+import type { Entry, Order } from '../wire/index.js';
 import type { Board } from './board.js';
 import type { TermDeps } from './deps.js';
 
@@ -196,38 +197,43 @@
     m: Machine,
     orders: readonly Order[],
     timeout: DurationMs,
-  ): Promise<{ kind: Outcome['kind']; why: string; report: Report | undefined }> {
-    if (!m.addr || !m.report) return { kind: 'undelivered', why: 'no address', report: undefined };
-    const outcome = await this.deps.http.send({
-      lane: 'worker',
-      endpoint: m.addr,
-      method: 'POST',
-      path: '/commands',
-      body: { baton: this.epoch, shift: m.report.shift, orders },
-      timeout,
-    });
-    if (outcome.kind !== 'answer') return { ...outcome, report: undefined };
-    const body = Beat.safeParse(outcome.body);
-    const sound = body.success && !this.board.fleet.isGone(m.id) && body.data.box === m.id;
-    return { kind: 'answer', why: '', report: sound ? toReport(body.data) : undefined };
+  ): Promise<{ outcome: CommandOutcome; why: string; report: Report | undefined }> {
+    if (!m.addr || !m.report)
+      return { outcome: 'undelivered', why: 'no address', report: undefined };
+    const request = {
+      type: 'command' as const,
+      address: m.addr,
+      token: this.epoch,
+      session: m.report.shift,
+      timeoutMs: timeout,
+      orders,
+    };
+    const { http, peers } = this.deps;
+    const peer = m.reportsThrough === undefined ? undefined : peers.get(m.reportsThrough);
+    const result = peer?.responsive
+      ? await callWorkerThrough(peer, request)
+      : await callWorker(http, request);
+    const { outcome, why, report } = result;
+    const sound = report?.box === m.id && !this.board.fleet.isGone(m.id);
+    return { outcome, why, report: sound ? toReport(report) : undefined };
   }
 
   private async command(m: Machine, orders: Order[], started: string[]): Promise<void> {
     const unsure = m.isUnsure(this.epoch);
-    const outcome = await this.send(m, orders, unsure ? UNSURE_TIMEOUT : COMMAND_TIMEOUT);
+    const result = await this.send(m, orders, unsure ? UNSURE_TIMEOUT : COMMAND_TIMEOUT);
     if (this.closed) return;
-    if (outcome.kind === 'answer') {
+    if (result.outcome === 'answered') {
       // Carried out or refused: either way nothing of it is under way any more.
       for (const attempt of started) {
         m.doubts.delete(attempt);
         m.direct.set(attempt, { ended: undefined });
       }
-      if (outcome.report && this.take(m, outcome.report)) this.observe(m, outcome.report);
+      if (result.report && this.take(m, result.report)) this.observe(m, result.report);
       return;
     }
-    this.deps.log.info({ machine: m.id, why: outcome.why }, 'command not answered');
+    this.deps.log.info({ machine: m.id, why: result.why }, 'command not answered');
     m.directUntil = later(this.deps.clock.steady(), DIRECT_PAUSE);
-    if (outcome.kind !== 'undelivered') return;
+    if (result.outcome !== 'undelivered') return;
     for (const attempt of started) m.doubts.delete(attempt);
     if (unsure && m.isUnsure(this.epoch)) this.takeBack(m, started);
   }
--- a/src/leader/reports.ts
+++ b/src/leader/reports.ts
@@ -17,13 +17,17 @@
   since,
   taskKey,
   type Epoch,
+  type NodeId,
   type SteadyMs,
 } from '../units/index.js';
 import type { Beat, BeatReply, Entry } from '../wire/index.js';
+import type { RelayedReport } from '../peer/messages.js';
 import type { Board } from './board.js';
 import type { TermDeps } from './deps.js';
 import type { Orders } from './orders.js';
 
+type UnchangedReport = RelayedReport & { readonly kind: 'unchanged' };
+
 /** A job that fails on this many machines is probably at fault itself. */
 const FAULTY_MACHINES = 3;
 const FAULT_HOLD = seconds(15);
@@ -35,6 +39,9 @@
 
 /** Takes in what machines report, and what follows from it for the tasks on them. */
 export class Reports {
+  private nextBaseline = 1;
+  private readonly noOrders: BeatReply;
+
   constructor(
     private readonly epoch: Epoch,
     private readonly board: Board,
@@ -42,23 +49,49 @@
     private readonly deps: TermDeps,
     /** The machine may have come to be of use. */
     private readonly wake: () => void,
-  ) {}
+  ) {
+    this.noOrders = { baton: epoch, orders: [] };
+  }
 
-  beat(b: Beat): BeatReply {
-    const now = this.deps.clock.steady();
-    const none: BeatReply = { baton: this.epoch, orders: [] };
+  /** A report that came straight from its worker. */
+  take(b: Beat): BeatReply {
+    return this.receive(b, toReport(b), undefined);
+  }
+
+  /** A report that a follower passed on, and the baseline by which it may refer to it from now on. */
+  takeRelayed(b: Beat, through: NodeId): { reply: BeatReply; baseline: number } {
+    const baseline = this.nextBaseline++;
+    return { reply: this.receive(b, { ...toReport(b), baseline }, through), baseline };
+  }
+
+  /**
+   * A report that shows what the one taken as its baseline showed; undefined if that is not the latest
+   * that we know of the machine, so that it must come in full.
+   */
+  takeUnchanged(u: UnchangedReport, through: NodeId): BeatReply | undefined {
+    const m = this.board.fleet.machines.get(MachineId(u.machine));
+    const last = m?.report;
+    if (!m || last?.baseline !== u.unchangedSince || last.shift !== u.session) return undefined;
+    return this.accept(m, { ...last, tally: u.sequence, baton: u.token }, through);
+  }
+
+  private receive(b: Beat, r: Report, through: NodeId | undefined): BeatReply {
     const id = MachineId(b.box);
     const { fleet } = this.board;
-    if (fleet.isGone(id)) return none;
+    if (fleet.isGone(id)) return this.noOrders;
     const m = fleet.meet(id, { build: b.build, hall: b.hall, spot: b.loaners }, b.addr);
+    return this.accept(m, r, through);
+  }
+
+  private accept(m: Machine, r: Report, through: NodeId | undefined): BeatReply {
+    const now = this.deps.clock.steady();
     const wasUp = m.up;
     const last = m.report;
-    const r = toReport(b);
     const fresh = m.take(r, now);
-    const { lease } = this.deps.settings.workers;
     if (fresh && last) this.noteHearing(m, r, last, now);
-    m.answered(leaseEnd(now, lease));
-    if (!fresh) return none;
+    m.answered(leaseEnd(now, this.deps.settings.workers.lease));
+    if (!fresh) return this.noOrders;
+    m.reportsThrough = through;
     if (!wasUp) this.wake();
     this.observe(m, r, true);
     return { baton: this.epoch, orders: this.orders.answer(m, r) };
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -14,17 +14,19 @@
   sleep,
   type DurationMs,
   type Epoch,
+  type NodeId,
   type SteadyMs,
   type Timer,
 } from '../units/index.js';
+import type { RelayedReport } from '../peer/messages.js';
 import type { Beat, BeatReply, JobSpec } from '../wire/index.js';
 import { Board } from './board.js';
 import type { TermDeps } from './deps.js';
 import { Dispatch } from './dispatch.js';
-import { HintTeller } from './hints.js';
+import { ImageHintSender } from './image-hints.js';
 import { Orders } from './orders.js';
 import { Reports } from './reports.js';
-import { spreads } from './spread.js';
+import { redirectsWorkers } from './worker-redirects.js';
 
 const TICK = ms(500);
 /** So much later than it was due, a tick shows that this process does not keep up. */
@@ -56,11 +58,11 @@
   private readonly orders: Orders;
   private readonly reports: Reports;
   private readonly dispatch: Dispatch;
-  private readonly teller = new HintTeller();
+  private readonly hintSender = new ImageHintSender();
   private hintsSent: SteadyMs;
   private fleetTold: SteadyMs;
   private ruled = true;
-  private spreading: boolean;
+  private redirecting = false;
   private listening: SteadyMs;
   private ticked: SteadyMs;
   private closed = false;
@@ -79,7 +81,6 @@
     this.ticked = began;
     this.hintsSent = began;
     this.fleetTold = began;
-    this.spreading = deps.spread();
     this.rebuilt = new Promise((resolve) => (this.stopWaiting = resolve));
     clock.after(MOST_REBUILD_WAIT, () => this.stopWaiting());
     this.ledger = new Ledger(deps.store, epoch, settings.state.txnOps, clock, random, log, {
@@ -95,7 +96,7 @@
       began,
       lease: settings.workers.lease,
       cacheOf: (build) => catalog.flavor(build)?.cache_gb,
-      hinted: (id) => deps.hints.of(id),
+      hinted: (id) => deps.imageHints.of(id),
       sizeOf: (id) => {
         const job = this.ledger.jobs.get(id);
         return job && sizeOfSpec(job.spec);
@@ -169,9 +170,9 @@
     this.tick();
   }
 
-  /** Whether workers are to report through the other nodes. */
-  get spreads(): boolean {
-    return this.spreading;
+  /** Whether workers that report straight to this node are sent to the others. */
+  get redirectsWorkers(): boolean {
+    return this.redirecting;
   }
 
   private tick(): void {
@@ -193,7 +194,7 @@
           report: workers.report,
           cpu: limits.cpu,
         };
-        this.spreading = spreads(this.spreading, load);
+        this.redirecting = redirectsWorkers(this.redirecting, load);
         this.sendHints();
         this.tellFleet();
         this.dispatch.wake();
@@ -240,8 +241,8 @@
     if (since(this.hintsSent, now) < HINTS_EVERY) return;
     this.hintsSent = now;
     const up = [...this.fleet.machines.values()].filter((m) => m.up);
-    const known = up.map((m) => ({ id: m.id, images: m.images.list() }));
-    for (const part of this.teller.parts(known, now)) this.deps.tellHints(part);
+    const known = up.map((m) => ({ machine: m.id, images: m.images.list() }));
+    for (const part of this.hintSender.parts(known, now)) this.deps.tellImages(part);
   }
 
   // --- jobs -------------------------------------------------------------------------------------
@@ -371,8 +372,20 @@
 
   // --- machines ---------------------------------------------------------------------------------
 
-  beat(b: Beat): BeatReply {
-    return this.reports.beat(b);
+  takeReport(report: Beat): BeatReply {
+    return this.reports.take(report);
+  }
+
+  takeRelayedReport(report: Beat, through: NodeId): { reply: BeatReply; baseline: number } {
+    return this.reports.takeRelayed(report, through);
+  }
+
+  /** Undefined if the report must come in full. */
+  takeUnchangedReport(
+    report: RelayedReport & { readonly kind: 'unchanged' },
+    through: NodeId,
+  ): BeatReply | undefined {
+    return this.reports.takeUnchanged(report, through);
   }
 
   private expire(): void {
--- a/src/leader/spread.ts
+++ b/src/leader/worker-redirects.ts
@@ -1,3 +1,4 @@
+/** When a leader sends the workers that report to it to the other nodes. */
 import type { DurationMs } from '../units/index.js';
 
 /**
@@ -17,11 +18,11 @@
 }
 
 /**
- * Whether workers report through the other nodes. Requests of hundreds of workers, each on a connection
- * of its own, cost a small leader more than what they say: then the others take them, and hand them on
- * over the one connection that they have to the leader, which alone answers.
+ * Requests of hundreds of workers, each on a connection of its own, cost a small leader more than what
+ * they say: then the other nodes take them, and pass them on in batches over the one connection that
+ * each has to the leader.
  */
-export function spreads(now: boolean, { machines, report, cpu }: Load): boolean {
+export function redirectsWorkers(now: boolean, { machines, report, cpu }: Load): boolean {
   const share = (machines * REPORT_COST_MS) / report / cpu;
   return share > (now ? UNTIL : FROM);
 }
--- a/src/main.ts
+++ b/src/main.ts
@@ -72,10 +72,10 @@
       connectionsCheckingInterval: 5000,
     },
     // koa answers all its errors itself.
-    createApp(controller.service, log).callback() as http.RequestListener,
+    createApp(controller, log).callback() as http.RequestListener,
   );
   api.maxConnections = Math.max(16, maxConnections - own);
-  const peers = servePeers((request) => controller.service.peer(request), log);
+  const peers = servePeers((request) => controller.peers.handle(request), log);
   const failed = (what: string) => (e: Error) => {
     log.error({ err: e }, `${what} failed`);
     setTimeout(() => open(), 500);
--- a/src/node.ts
+++ b/src/node.ts
@@ -1,26 +1,30 @@
 import type { Logger } from 'pino';
-import * as z from 'zod';
 import type { OperatorSettings } from './config/operator.js';
 import type { Settings } from './config/settings.js';
-import { Service } from './api/service.js';
+import { Leadership } from './api/leadership.js';
+import { PeerRequests } from './api/peer-requests.js';
+import type { Reply } from './api/reply.js';
+import { TRY_AGAIN, ISOLATED } from './api/reply.js';
+import { UserRequests } from './api/user-requests.js';
+import { WorkerReports } from './api/worker-reports.js';
 import { Catalog } from './cloud/catalog.js';
 import { CloudClient } from './cloud/client.js';
 import { StoreFront } from './ledger/front.js';
 import { Election } from './leader/election.js';
-import { HintBook, type Hints } from './leader/hints.js';
+import { ImageHints } from './leader/image-hints.js';
 import { Term } from './leader/term.js';
 import type { HttpClient } from './net/http.js';
 import type { Peer } from './peer/channel.js';
-import { Pulses, recently } from './peer/pulses.js';
+import { Heartbeats, isRecent } from './peer/heartbeats.js';
+import type { MachineImages, PeerStatus } from './peer/messages.js';
+import { ReportRelay } from './relay/report-relay.js';
 import { StoreClient } from './store/client.js';
 import { NodeId, ms, seconds, sleep, type Clock, type Random } from './units/index.js';
-import { decode, encode } from './wire/index.js';
 
 const CATALOG_KEY = 'catalog';
 const CATALOG_EVERY = seconds(60);
 const STORE_TIMEOUT = ms(2000);
-const HINTS_TIMEOUT = ms(1000);
-const HintsBody = z.record(z.string(), z.array(z.tuple([z.string(), z.number()])));
+const IMAGE_HINTS_TIMEOUT = ms(1000);
 
 export interface World {
   readonly clock: Clock;
@@ -34,17 +38,20 @@
 
 /** One controller: everything but the sockets it listens on, so that tests can drive it. */
 export class Controller {
-  readonly service: Service;
+  readonly users: UserRequests;
+  readonly workers: WorkerReports;
+  readonly peers: PeerRequests;
   readonly election: Election;
   private readonly store: StoreClient;
   private readonly catalog = new Catalog();
-  private readonly pulses: Pulses;
-  private term: Term | undefined;
-  private readonly hints = new HintBook();
+  private readonly heartbeats: Heartbeats;
+  private readonly leadership: Leadership;
+  private readonly imageHints = new ImageHints();
+  private storeSeen = false;
   private stopped = false;
 
   constructor(
-    settings: Settings,
+    private readonly settings: Settings,
     operator: OperatorSettings,
     private readonly world: World,
   ) {
@@ -82,64 +89,72 @@
             log: log.child({ epoch }),
             authority: () => this.election.authority(),
             deposed: (e) => this.election.deposed(e),
-            hints: this.hints,
-            tellHints: (hints) => this.tellHints(hints),
-            spread: () => this.pulses.spread,
+            imageHints: this.imageHints,
+            tellImages: (machines) => this.tellImages(machines),
+            peers: world.peers,
           });
           term.capacity.onCatalog = () => void this.keepCatalog();
-          this.term = term;
-          this.service.term = term;
+          this.leadership.term = term;
           void term.start().catch((e: unknown) => log.error({ err: e }, 'rebuild failed'));
         },
         lost: () => {
-          this.pulses.spread = this.term?.spreads ?? false;
-          this.term?.close();
-          this.term = undefined;
-          this.service.term = undefined;
+          this.leadership.term?.close();
+          this.leadership.term = undefined;
         },
       },
     );
-    this.service = new Service(
-      settings,
-      this.election,
-      front,
-      this.catalog,
+    this.leadership = new Leadership(this.election, world.peers);
+    this.heartbeats = new Heartbeats(
       world.peers,
       clock,
-      log,
-      {
-        hints: (body) => this.takeHints(body),
-        ping: (body) => this.pulses.answer(body),
-        alone: () => this.pulses.alone(this.store.servedAt),
-        spread: () => this.pulses.spread,
+      () => this.ownStatus(),
+      ({ leader, epoch }) => {
+        if (leader !== '') this.election.heard(NodeId(leader), epoch);
       },
     );
-    this.pulses = new Pulses(
-      world.peers,
+    const isIsolated = (): boolean => this.heartbeats.isIsolated(this.store.servedAt);
+    this.users = new UserRequests(
+      settings,
+      this.leadership,
+      front,
+      this.catalog,
       clock,
-      () => ({
-        leader: this.election.leader() ?? '',
-        epoch: this.election.leaderEpoch(),
-        store: recently(this.store.servedAt, clock.steady()),
-        spread: this.term?.spreads ?? this.pulses.spread,
-      }),
-      (pulse) => {
-        if (pulse.leader !== '') this.election.heard(NodeId(pulse.leader), pulse.epoch);
-      },
+      log,
+      isIsolated,
     );
+    const relay = new ReportRelay(settings.node, clock, () => this.leadership.leaderPeer());
+    this.workers = new WorkerReports(settings, this.leadership, relay, clock, isIsolated);
+    this.peers = new PeerRequests(this.leadership, this.users, this.workers, http, {
+      imageHints: (machines) => this.imageHints.take(machines, clock.steady()),
+      heartbeat: (status) => this.heartbeats.respond(status),
+    });
+  }
+
+  private ownStatus(): PeerStatus {
+    return {
+      leader: this.election.leader() ?? '',
+      epoch: this.election.leaderEpoch(),
+      storeReachable: isRecent(this.store.servedAt, this.world.clock.steady()),
+    };
   }
 
-  private takeHints(body: Buffer): void {
-    const parsed = HintsBody.safeParse(decode(body));
-    if (parsed.success) this.hints.take(parsed.data, this.world.clock.steady());
+  /**
+   * Healthy once it has been in touch with the store or a leader. It stays so when the store is out
+   * for all: a node that says "come back" at once serves users better than one taken off the balancer,
+   * whose connections are reset and which is let back in only after a pause. One that is cut off alone
+   * says so, since another node could serve the users that stay with it.
+   */
+  health(): Reply {
+    this.storeSeen ||= this.election.leader() !== undefined;
+    if (!this.storeSeen) return TRY_AGAIN;
+    if (this.heartbeats.isIsolated(this.store.servedAt)) return ISOLATED;
+    return { status: 200, body: { node: this.settings.node } };
   }
 
-  private tellHints(hints: Hints): void {
-    this.hints.take(hints, this.world.clock.steady());
-    const body = encode(hints);
+  private tellImages(machines: readonly MachineImages[]): void {
+    this.imageHints.take(machines, this.world.clock.steady());
     for (const peer of this.world.peers.values()) {
-      if (!peer.responsive) continue;
-      void peer.ask({ kind: 'hints', method: '', path: '', body }, HINTS_TIMEOUT);
+      if (peer.responsive) void peer.ask({ type: 'imageHints', machines }, IMAGE_HINTS_TIMEOUT);
     }
   }
 
@@ -147,15 +162,15 @@
     void this.election.serve();
     void this.readCatalog();
     void this.probeStore();
-    this.pulses.start();
+    this.heartbeats.start();
   }
 
   /** For tests: what a killed process no longer does. */
   stop(): void {
     this.stopped = true;
     this.election.stop();
-    this.pulses.stop();
-    this.term?.close();
+    this.heartbeats.stop();
+    this.leadership.term?.close();
   }
 
   private async probeStore(): Promise<void> {
@@ -169,9 +184,9 @@
   private async readCatalog(): Promise<void> {
     while (!this.stopped) {
       const pause = this.catalog.known ? CATALOG_EVERY : ms(1000);
-      if (!this.term) {
+      if (!this.leadership.term) {
         const read = await this.store.get(CATALOG_KEY, STORE_TIMEOUT);
-        if (read.kind === 'found' && !this.term) this.catalog.restore(read.data);
+        if (read.kind === 'found' && !this.leadership.term) this.catalog.restore(read.data);
       }
       await sleep(this.world.clock, pause);
     }
--- a/src/peer/channel.ts
+++ b/src/peer/channel.ts
@@ -1,42 +1,30 @@
+/** The connections between controllers: one kept open to each other node, and the server side. */
 import net from 'node:net';
 import { pipeline } from 'node:stream/promises';
 import type { Logger } from 'pino';
 import { SteadyMs, later, ms, type Clock, type DurationMs, type Endpoint } from '../units/index.js';
+import { Deframer, Framer } from './framing.js';
 import {
-  Deframer,
-  Framer,
-  decodeAsk,
-  decodeTold,
-  encodeAsk,
-  encodeTold,
-  type Kind,
-  type Told,
-} from './frames.js';
+  decodeRequest,
+  decodeResponse,
+  encodeRequest,
+  encodeResponse,
+  type PeerRequest,
+  type PeerResponse,
+} from './messages.js';
 
-export interface PeerRequest {
-  readonly kind: Kind;
-  readonly method: string;
-  readonly path: string;
-  readonly body: Buffer;
-}
-
-export interface PeerReply {
-  readonly status: number;
-  readonly retryAfter: number;
-  readonly body: Buffer;
-}
-
-/** One node's way to another. An answer of undefined says nothing about what was carried out. */
+/** One node's way to another. A response of undefined says nothing about what was carried out. */
 export interface Peer {
   /** Whether it answered lately; a node that does not is not waited for. */
   readonly responsive: boolean;
-  ask(request: PeerRequest, timeout: DurationMs): Promise<PeerReply | undefined>;
+  ask(request: PeerRequest, timeout: DurationMs): Promise<PeerResponse | undefined>;
 }
 
-export type PeerHandler = (request: PeerRequest) => Promise<PeerReply>;
+export type PeerHandler = (request: PeerRequest) => Promise<PeerResponse>;
 
 const CONNECT_TIMEOUT = ms(700);
-const RECONNECT = ms(500);
+const RECONNECT_PAUSE = ms(500);
+const MAX_REQUEST_ID = 0x7fffffff;
 
 /** A kept connection to another node, dialled again when it breaks. */
 export class PeerLink implements Peer {
@@ -44,9 +32,9 @@
   private framer: Framer | undefined;
   private connected = false;
   private nextId = 1;
-  private readonly open = new Map<number, (t: Told | undefined) => void>();
+  private readonly pending = new Map<number, (response: PeerResponse | undefined) => void>();
   private suspect = true;
-  private dialAgain = SteadyMs(0);
+  private dialAgainAt = SteadyMs(0);
   private closed = false;
 
   constructor(
@@ -65,32 +53,32 @@
   }
 
   private dial(): void {
-    if (this.socket || this.closed || this.clock.steady() < this.dialAgain) return;
-    const cut = this.endpoint.lastIndexOf(':');
+    if (this.socket || this.closed || this.clock.steady() < this.dialAgainAt) return;
+    const colon = this.endpoint.lastIndexOf(':');
     const socket = net.connect({
-      host: this.endpoint.slice(0, cut),
-      port: Number(this.endpoint.slice(cut + 1)),
+      host: this.endpoint.slice(0, colon),
+      port: Number(this.endpoint.slice(colon + 1)),
       noDelay: true,
     });
     const framer = new Framer();
     this.socket = socket;
     this.framer = framer;
-    const patience = this.clock.after(CONNECT_TIMEOUT, () => {
+    const connectTimer = this.clock.after(CONNECT_TIMEOUT, () => {
       if (!this.connected && this.socket === socket) this.drop('no connection in time');
     });
     socket.once('connect', () => {
-      patience.cancel();
+      connectTimer.cancel();
       if (this.socket === socket) this.connected = true;
     });
     const ended = (why: string): void => {
-      patience.cancel();
+      connectTimer.cancel();
       if (this.socket === socket) this.drop(why);
     };
     pipeline(framer, socket).catch((e: Error) => ended(e.message));
     pipeline(socket, new Deframer(), async (frames: AsyncIterable<Buffer>) => {
       for await (const frame of frames) {
-        const told = decodeTold(frame);
-        this.open.get(told.id)?.(told);
+        const { id, message } = decodeResponse(frame);
+        this.pending.get(id)?.(message);
       }
     }).then(
       () => ended('closed by the other side'),
@@ -105,50 +93,54 @@
     this.framer = undefined;
     this.connected = false;
     this.suspect = true;
-    this.dialAgain = later(this.clock.steady(), RECONNECT);
+    this.dialAgainAt = later(this.clock.steady(), RECONNECT_PAUSE);
     socket?.destroy();
-    for (const settle of [...this.open.values()]) settle(undefined);
+    for (const settle of [...this.pending.values()]) settle(undefined);
   }
 
-  async ask(request: PeerRequest, timeout: DurationMs): Promise<PeerReply | undefined> {
+  async ask(request: PeerRequest, timeout: DurationMs): Promise<PeerResponse | undefined> {
     this.dial();
     const framer = this.framer;
     if (!framer || this.closed) return undefined;
     const id = this.nextId;
-    this.nextId = this.nextId >= 0x7fffffff ? 1 : this.nextId + 1;
-    const told = await new Promise<Told | undefined>((resolve) => {
+    this.nextId = id >= MAX_REQUEST_ID ? 1 : id + 1;
+    const response = await new Promise<PeerResponse | undefined>((resolve) => {
       const timer = this.clock.after(timeout, () => settle(undefined));
-      const settle = (t: Told | undefined): void => {
+      const settle = (r: PeerResponse | undefined): void => {
         timer.cancel();
-        this.open.delete(id);
-        resolve(t);
+        this.pending.delete(id);
+        resolve(r);
       };
-      this.open.set(id, settle);
-      framer.write(encodeAsk({ id, ...request }));
+      this.pending.set(id, settle);
+      framer.write(encodeRequest(id, request));
     });
-    this.suspect = told === undefined;
-    // A node that does not even answer a ping is dialled anew: the connection may lead nowhere.
-    if (!told && request.kind === 'ping' && this.framer === framer)
-      this.drop('no answer to a ping');
-    return told;
+    this.suspect = response === undefined;
+    // A node that does not even answer a heartbeat is dialled anew: the connection may lead nowhere.
+    if (!response && request.type === 'heartbeat' && this.framer === framer) {
+      this.drop('no answer to a heartbeat');
+    }
+    return response;
   }
 }
 
-/** Answers the other nodes. */
+/** Answers the other nodes. A connection that carries anything unreadable is closed. */
 export function servePeers(handle: PeerHandler, log: Logger): net.Server {
   return net.createServer({ noDelay: true }, (socket) => {
     const framer = new Framer();
     pipeline(framer, socket).catch(() => socket.destroy());
     pipeline(socket, new Deframer(), async (frames: AsyncIterable<Buffer>) => {
       for await (const frame of frames) {
-        const ask = decodeAsk(frame);
+        const { id, message } = decodeRequest(frame);
         // Answered as they come, not in turn: a slow one must not hold up the rest.
-        void handle(ask)
-          .then((reply) => {
-            if (!framer.destroyed) framer.write(encodeTold({ id: ask.id, ...reply }));
+        void handle(message)
+          .then((response) => {
+            if (!framer.destroyed) framer.write(encodeResponse(id, response));
           })
           .catch((e: unknown) => log.error({ err: e }, 'peer request failed'));
       }
-    }).catch(() => socket.destroy());
+    }).catch((e: Error) => {
+      log.debug({ from: socket.remoteAddress, why: e.message }, 'connection of a peer closed');
+      socket.destroy();
+    });
   });
 }
--- /dev/null
+++ b/src/relay/report-relay.ts
@@ -0,0 +1,198 @@
+/**
+ * How a follower passes workers' reports to the leader: in batches, and by reference where nothing but
+ * the sequence number has changed, so that the leader spends little on each.
+ */
+import type { Peer } from '../peer/channel.js';
+import type { RelayedReport, ReportResponse } from '../peer/messages.js';
+import { later, ms, since, type Clock, type NodeId, type SteadyMs } from '../units/index.js';
+import type { Beat, BeatReply, Entry } from '../wire/index.js';
+
+/** What comes within this time goes in one batch; the first after a pause goes at once. */
+const BATCH_WINDOW = ms(100);
+/** A worker gives up waiting after 4 s. */
+const BATCH_TIMEOUT = ms(2500);
+/**
+ * How long a report waits for a leader that may answer it. One that takes over within this time does so,
+ * and the worker need not look for it from node to node.
+ */
+const MAX_LEADER_WAIT = ms(1500);
+const LEADER_POLL = ms(100);
+/** Reports and their orders together must fit a frame of the channel, which takes a little over 64 KiB. */
+const MAX_BATCH_BYTES = 40 * 1024;
+/** Baselines of machines that went elsewhere are dropped now and then. */
+const MAX_BASELINES = 4000;
+const BASELINE_IDLE = ms(30_000);
+
+/** The report that the leader took last from a machine through this node. */
+interface Baseline {
+  readonly id: number;
+  readonly report: Beat;
+  readonly at: SteadyMs;
+}
+
+interface PendingReport {
+  readonly report: Beat;
+  readonly bytes: number;
+  readonly waitsUntil: SteadyMs;
+  /** Sent in full, whatever the leader may know. */
+  readonly full: boolean;
+  readonly settle: (reply: BeatReply | undefined) => void;
+}
+
+export class ReportRelay {
+  private pending: PendingReport[] = [];
+  private readonly baselines = new Map<string, Baseline>();
+  /** The epoch under which the baselines were given. */
+  private epoch = 0;
+  private scheduled = false;
+  private sentAt: SteadyMs | undefined;
+
+  constructor(
+    private readonly node: NodeId,
+    private readonly clock: Clock,
+    private readonly leaderPeer: () => Peer | undefined,
+  ) {}
+
+  /** The leader's answer to a report; undefined if none came, or it may not answer. */
+  send(report: Beat, bytes: number): Promise<BeatReply | undefined> {
+    const now = this.clock.steady();
+    return new Promise((settle) => {
+      const waitsUntil = later(now, MAX_LEADER_WAIT);
+      this.pending.push({ report, bytes, waitsUntil, full: false, settle });
+      this.schedule();
+    });
+  }
+
+  private schedule(): void {
+    if (this.scheduled || this.pending.length === 0) return;
+    this.scheduled = true;
+    const now = this.clock.steady();
+    const rest = this.sentAt === undefined ? 0 : BATCH_WINDOW - since(this.sentAt, now);
+    this.clock.after(ms(Math.max(0, rest)), () => this.flush());
+  }
+
+  private flush(): void {
+    this.scheduled = false;
+    const peer = this.leaderPeer();
+    if (!peer) {
+      this.waitForLeader();
+      return;
+    }
+    this.sentAt = this.clock.steady();
+    const batch = this.takeBatch();
+    if (batch.length > 0) void this.sendBatch(peer, batch);
+    this.schedule();
+  }
+
+  private waitForLeader(): void {
+    const now = this.clock.steady();
+    const waiting: PendingReport[] = [];
+    for (const p of this.pending) {
+      if (now < p.waitsUntil) waiting.push(p);
+      else p.settle(undefined);
+    }
+    this.pending = waiting;
+    if (waiting.length === 0) return;
+    this.scheduled = true;
+    this.clock.after(LEADER_POLL, () => this.flush());
+  }
+
+  private takeBatch(): PendingReport[] {
+    const batch: PendingReport[] = [];
+    let bytes = 0;
+    for (const p of this.pending) {
+      bytes += p.bytes;
+      if (batch.length > 0 && bytes > MAX_BATCH_BYTES) break;
+      batch.push(p);
+    }
+    this.pending = this.pending.slice(batch.length);
+    return batch;
+  }
+
+  private async sendBatch(peer: Peer, batch: readonly PendingReport[]): Promise<void> {
+    const { node, epoch } = this;
+    const reports = batch.map((p) => this.relayed(p));
+    const response = await peer.ask({ type: 'reports', node, epoch, reports }, BATCH_TIMEOUT);
+    if (response?.type !== 'reportResponses' || response.responses.length !== batch.length) {
+      for (const p of batch) p.settle(undefined);
+      return;
+    }
+    if (response.epoch !== this.epoch) {
+      this.baselines.clear();
+      this.epoch = response.epoch;
+    }
+    for (const [i, p] of batch.entries()) {
+      const answer = response.responses[i];
+      if (answer) this.settle(p, answer, response.epoch);
+    }
+    this.schedule();
+  }
+
+  private settle(p: PendingReport, answer: ReportResponse, epoch: number): void {
+    const { report } = p;
+    if (answer.outcome === 'baselineUnknown' && !p.full) {
+      this.pending.push({ ...p, full: true });
+      return;
+    }
+    if (answer.outcome === 'refused' && this.clock.steady() < p.waitsUntil) {
+      this.pending.push(p);
+      return;
+    }
+    if (answer.outcome !== 'accepted') {
+      p.settle(undefined);
+      return;
+    }
+    this.remember(report, answer.baseline);
+    p.settle({ baton: epoch, orders: answer.orders });
+  }
+
+  private remember(report: Beat, baseline: number): void {
+    if (baseline === 0) {
+      this.baselines.delete(report.box);
+      return;
+    }
+    const now = this.clock.steady();
+    this.baselines.set(report.box, { id: baseline, report, at: now });
+    if (this.baselines.size <= MAX_BASELINES) return;
+    for (const [machine, { at }] of this.baselines) {
+      if (since(at, now) > BASELINE_IDLE) this.baselines.delete(machine);
+    }
+  }
+
+  private relayed({ report, full }: PendingReport): RelayedReport {
+    const baseline = full ? undefined : this.baselines.get(report.box);
+    if (!baseline || !showsTheSame(baseline.report, report)) return { kind: 'full', report };
+    return {
+      kind: 'unchanged',
+      machine: report.box,
+      session: report.shift,
+      sequence: report.tally,
+      token: report.baton,
+      unchangedSince: baseline.id,
+    };
+  }
+}
+
+/** Whether two reports of a machine differ in nothing but their sequence numbers and tokens. */
+export function showsTheSame(a: Beat, b: Beat): boolean {
+  return (
+    a.shift === b.shift &&
+    a.addr === b.addr &&
+    // A notice counts down, so each report that shows one is news.
+    (a.recall_s ?? null) === null &&
+    (b.recall_s ?? null) === null &&
+    a.entries.length === b.entries.length &&
+    a.entries.every((entry, i) => sameEntry(entry, b.entries[i]))
+  );
+}
+
+function sameEntry(a: Entry, b: Entry | undefined): boolean {
+  return (
+    b !== undefined &&
+    a.entry === b.entry &&
+    a.try === b.try &&
+    a.status === b.status &&
+    (a.cause ?? null) === (b.cause ?? null) &&
+    (a.kept ?? null) === (b.kept ?? null)
+  );
+}
--- /dev/null
+++ b/src/relay/worker-call.ts
@@ -0,0 +1,56 @@
+/**
+ * Commands to workers: sent by the leader itself, or by the follower that a worker reports through.
+ * Either way the leader alone decides, and the worker checks token and session.
+ */
+import type { HttpClient, Outcome } from '../net/http.js';
+import type { Peer } from '../peer/channel.js';
+import type { CommandOutcome, PeerRequest, PeerResponse } from '../peer/messages.js';
+import { Endpoint, ms } from '../units/index.js';
+import { Beat } from '../wire/index.js';
+
+type CommandRequest = PeerRequest & { readonly type: 'command' };
+export type CommandResult = PeerResponse & { readonly type: 'commandResult' };
+
+/** How much longer than the call itself its result may take to come back through another node. */
+const RELAY_MARGIN = ms(500);
+
+const OUTCOMES: Record<Outcome['kind'], CommandOutcome> = {
+  answer: 'answered',
+  undelivered: 'undelivered',
+  unknown: 'unknown',
+};
+
+/** Calls a worker from this node. */
+export async function callWorker(
+  http: HttpClient,
+  { address, token, session, timeoutMs, orders }: CommandRequest,
+): Promise<CommandResult> {
+  const outcome = await http.send({
+    lane: 'worker',
+    endpoint: Endpoint(address),
+    method: 'POST',
+    path: '/commands',
+    body: { baton: token, shift: session, orders },
+    timeout: ms(timeoutMs),
+  });
+  const report = outcome.kind === 'answer' ? Beat.safeParse(outcome.body) : undefined;
+  return {
+    type: 'commandResult',
+    outcome: OUTCOMES[outcome.kind],
+    why: outcome.kind === 'answer' ? '' : outcome.why,
+    report: report?.success ? report.data : null,
+  };
+}
+
+/**
+ * Has another node call a worker. Without its word nobody knows whether the command was carried out, or
+ * will be: packets between nodes may be held back and arrive much later.
+ */
+export async function callWorkerThrough(
+  peer: Peer,
+  request: CommandRequest,
+): Promise<CommandResult> {
+  const response = await peer.ask(request, ms(request.timeoutMs + RELAY_MARGIN));
+  if (response?.type === 'commandResult') return response;
+  return { type: 'commandResult', outcome: 'unknown', why: 'no word from the relay', report: null };
+}
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -5,10 +5,15 @@
 import { parseSettings, type Settings } from '../../src/config/settings.js';
 import { Controller } from '../../src/node.js';
 import type { Peer } from '../../src/peer/channel.js';
-import { decodeAsk, decodeTold, encodeAsk, encodeTold } from '../../src/peer/frames.js';
+import {
+  decodeRequest,
+  decodeResponse,
+  encodeRequest,
+  encodeResponse,
+} from '../../src/peer/messages.js';
 import type { Endpoint, NodeId } from '../../src/units/index.js';
 import { ms, type Random } from '../../src/units/index.js';
-import { encode, type Flavor, type JobSpec } from '../../src/wire/index.js';
+import { decode, encode, type Flavor, type JobSpec } from '../../src/wire/index.js';
 import { spec } from '../support/jobs.js';
 import { settingsFile } from '../support/settings.js';
 import { Balancer } from './balancer.js';
@@ -209,15 +214,16 @@
     });
     this.network.attach(api, settings.area, async (method, path, body) => {
       const bytes = body === undefined ? Buffer.alloc(0) : encode(body);
-      if (path === '/up') return controller.service.up();
-      return path === '/agent/beat'
-        ? controller.service.beat(bytes)
-        : controller.service.user(method, path, bytes);
+      if (path === '/up') return controller.health();
+      const reply = await (path === '/agent/beat'
+        ? controller.workers.handle(bytes)
+        : controller.users.handle(method, path, bytes));
+      return Buffer.isBuffer(reply.body) ? { ...reply, body: decode(reply.body) } : reply;
     });
     this.network.attach(settings.cluster, settings.area, async (_method, _path, body) => {
-      const ask = decodeAsk(Buffer.from((body as Framed).frame, 'base64'));
-      const reply = await controller.service.peer(ask);
-      return { status: 200, body: framed(encodeTold({ id: ask.id, ...reply })) };
+      const { id, message } = decodeRequest(Buffer.from((body as Framed).frame, 'base64'));
+      const response = await controller.peers.handle(message);
+      return { status: 200, body: framed(encodeResponse(id, response)) };
     });
     this.nodes.set(n, { clock, controller });
     controller.start();
@@ -230,13 +236,13 @@
         return clock.steady() >= silentUntil;
       },
       ask: async (request, timeout) => {
-        const body = framed(encodeAsk({ id: 1, ...request }));
+        const body = framed(encodeRequest(1, request));
         const o = await http.send({ endpoint, method: 'POST', path: '/', body, timeout });
         if (o.kind !== 'answer') {
           silentUntil = clock.steady() + 2000;
           return undefined;
         }
-        return decodeTold(Buffer.from((o.body as Framed).frame, 'base64'));
+        return decodeResponse(Buffer.from((o.body as Framed).frame, 'base64')).message;
       },
     };
   }
--- /dev/null
+++ b/test/support/api.ts
@@ -0,0 +1,61 @@
+import { pino } from 'pino';
+import { Leadership } from '../../src/api/leadership.js';
+import { UserRequests } from '../../src/api/user-requests.js';
+import { WorkerReports } from '../../src/api/worker-reports.js';
+import { Catalog } from '../../src/cloud/catalog.js';
+import { parseSettings } from '../../src/config/settings.js';
+import type { StoreFront } from '../../src/ledger/front.js';
+import type { Answer, Term } from '../../src/leader/term.js';
+import type { Peer } from '../../src/peer/channel.js';
+import { ReportRelay } from '../../src/relay/report-relay.js';
+import { Epoch, JobId, NodeId } from '../../src/units/index.js';
+import { ProcessClock, VirtualTime } from '../standin/clock.js';
+import { flavors } from '../standin/world.js';
+import { settingsFile } from './settings.js';
+
+export const JOB = JobId('run-000001');
+export const EPOCH = Epoch(7);
+
+/** What answers HTTP on a node that leads until `lose` is called; its term answers when `answer` is. */
+export function leadingNode(found: Answer) {
+  const settings = parseSettings(settingsFile(0));
+  const clock = new ProcessClock(new VirtualTime(), 0, 0);
+  let epoch: Epoch | undefined = EPOCH;
+  let answer = (): void => undefined;
+  const answerLater = (): Promise<Answer> => new Promise((r) => (answer = () => r(found)));
+  const term = {
+    epoch,
+    isClosed: false,
+    isReady: true,
+    redirectsWorkers: false,
+    find: answerLater,
+    abort: answerLater,
+    submit: answerLater,
+    takeReport: () => ({ baton: EPOCH, orders: [] }),
+    takeRelayedReport: () => ({ reply: { baton: EPOCH, orders: [] }, baseline: 1 }),
+  };
+  const peers = new Map<NodeId, Peer>();
+  const catalog = new Catalog();
+  catalog.update(flavors);
+  const leadership = new Leadership(
+    { authority: () => epoch, leader: () => NodeId('node-0') },
+    peers,
+  );
+  leadership.term = term as unknown as Term;
+  const connected = (): boolean => false;
+  const users = new UserRequests(
+    settings,
+    leadership,
+    {} as StoreFront,
+    catalog,
+    clock,
+    pino({ level: 'silent' }),
+    connected,
+  );
+  const relay = new ReportRelay(settings.node, clock, () => leadership.leaderPeer());
+  const workers = new WorkerReports(settings, leadership, relay, clock, connected);
+  const lose = (): void => {
+    epoch = undefined;
+  };
+  return { users, workers, term, peers, lose, answer: () => answer() };
+}
--- /dev/null
+++ b/test/unit/user-requests.test.ts
@@ -0,0 +1,89 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Catalog } from '../../src/cloud/catalog.js';
+import { parseSettings } from '../../src/config/settings.js';
+import { Job } from '../../src/ledger/job.js';
+import type { Answer } from '../../src/leader/term.js';
+import { Revision, WallMs } from '../../src/units/index.js';
+import { encode, parseSubmission } from '../../src/wire/index.js';
+import { flavors } from '../standin/world.js';
+import { JOB, leadingNode } from '../support/api.js';
+import { spec } from '../support/jobs.js';
+import { settingsFile } from '../support/settings.js';
+
+void test('an answer that rests on authority is given under it to the end', async () => {
+  const running = new Job(JOB, spec({}), WallMs(0), Revision(5));
+  const body = encode(spec({}));
+  type Case = [name: string, method: string, path: string, found: Answer, kept: number];
+  const cases: Case[] = [
+    ['a question', 'GET', `/v1/jobs/${JOB}`, { kind: 'job', job: running }, 200],
+    ['a question about no job', 'GET', `/v1/jobs/${JOB}`, { kind: 'absent' }, 404],
+    ['a repeated submission', 'POST', '/v1/jobs', { kind: 'job', job: running }, 200],
+    ['a cancellation', 'POST', `/v1/jobs/${JOB}/abort`, { kind: 'job', job: running }, 200],
+  ];
+  for (const [name, method, path, found, kept] of cases) {
+    for (const lost of [false, true]) {
+      const { users, lose, answer } = leadingNode(found);
+      const reply = users.handle(method, path, body);
+      await Promise.resolve();
+      // It stood still here, and another has come to lead.
+      if (lost) lose();
+      answer();
+      const { status } = await reply;
+      assert.equal(status, lost ? 503 : kept, name);
+    }
+  }
+});
+
+void test('submissions that can not run, or lack something, are refused by every node alike', () => {
+  const settings = parseSettings(settingsFile(0));
+  const catalog = new Catalog();
+  catalog.update(flavors);
+  const one = new Catalog();
+  one.update(flavors.map((f) => ({ ...f, halls: ['a'] })));
+  const ok = spec({});
+  const cases: [string, unknown, number][] = [
+    ['as it should be', ok, 0],
+    [
+      'nulls that may be missing',
+      { ...ok, builds: undefined, hall: undefined, due_s: undefined },
+      0,
+    ],
+    ['apart in one zone: in turns', spec({ apart: true, hall: 'a', entries: 5 }), 0],
+    ['apart and together: in turns', spec({ apart: true, together: true, entries: 5 }), 0],
+    ['a gang apart and together', spec({ shape: 'ensemble', apart: true, together: true }), 422],
+    ['a gang of one', spec({ shape: 'ensemble', apart: true, together: true, entries: 1 }), 0],
+    ['a gang apart in one zone', spec({ shape: 'ensemble', apart: true, hall: 'a' }), 422],
+    ['a gang above its limit', spec({ shape: 'ensemble', entries: 5, vcpus: 8 }), 422],
+    ['an array above its limit', spec({ entries: 5, vcpus: 8 }), 0],
+    ['a task above its limit', spec({ vcpus: 25 }), 422],
+    ['a task too large', spec({ ram_gb: 33 }), 422],
+    ['gpus that nobody has', spec({ gpus: 1 }), 422],
+    ['an unknown team', spec({ desk: 'nobody' }), 422],
+    ['no such type', spec({ builds: ['huge'] }), 422],
+    ['no type at all', spec({ builds: [] }), 422],
+    ['no such zone', spec({ hall: 'z' }), 422],
+    ['no tasks', spec({ entries: 0 }), 400],
+    ['half a task', spec({ entries: 1.5 }), 400],
+    ['too many tasks', spec({ entries: 100_001 }), 400],
+    ['no processor', spec({ vcpus: 0 }), 400],
+    ['less than none', spec({ ram_gb: -1 }), 400],
+    ['no number', spec({ vcpus: NaN }), 400],
+    ['without end', spec({ expected_s: Infinity }), 400],
+    ['an id of another form', spec({ name_id: 'job-1' }), 400],
+    ['a number as a text', { ...ok, vcpus: '2' }, 400],
+    ['null where none may be', { ...ok, loaners: null }, 400],
+    ...Object.keys(ok)
+      .filter((k) => !['builds', 'hall', 'due_s'].includes(k))
+      .map((k): [string, unknown, number] => [`no ${k}`, { ...ok, [k]: undefined }, 400]),
+    ['not a map', [ok], 400],
+  ];
+  for (const [name, body, status] of cases) {
+    const parsed = parseSubmission(encode(body));
+    const verdict = parsed.ok ? catalog.judge(parsed.value, settings.teams) : undefined;
+    const got = !parsed.ok ? 400 : typeof verdict === 'object' ? 422 : 0;
+    assert.equal(got, status, name);
+  }
+  const gang = parseSubmission(encode(spec({ shape: 'ensemble', apart: true })));
+  assert.ok(gang.ok && typeof one.judge(gang.value, settings.teams) === 'object');
+});
--- /dev/null
+++ b/test/unit/worker-reports.test.ts
@@ -0,0 +1,92 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { redirectsWorkers } from '../../src/leader/worker-redirects.js';
+import { NodeId, seconds } from '../../src/units/index.js';
+import { encode, type Beat } from '../../src/wire/index.js';
+import { EPOCH, leadingNode } from '../support/api.js';
+
+const report = (box: string, baton = 0): Beat => ({
+  box,
+  addr: '',
+  build: 'small',
+  hall: 'a',
+  loaners: true,
+  shift: 1,
+  tally: 1,
+  baton,
+  recall_s: null,
+  entries: [],
+});
+
+void test('a report gets no 200 before the leader knows which jobs are cancelled', async () => {
+  for (const ready of [true, false]) {
+    for (const relayed of [true, false]) {
+      const { workers, term } = leadingNode({ kind: 'absent' });
+      let became = (): void => undefined;
+      Object.assign(term, { isReady: false, rebuilt: new Promise<void>((r) => (became = r)) });
+      const full = { kind: 'full' as const, report: report('vm-1') };
+      const accepted = relayed
+        ? workers
+            .handleRelayed(NodeId('node-1'), EPOCH, [full])
+            .then((r) => r.type === 'reportResponses' && r.responses[0]?.outcome === 'accepted')
+        : workers.handle(encode(report('vm-1'))).then((r) => r.status === 200);
+      await Promise.resolve();
+      term.isReady = ready;
+      became();
+      assert.equal(await accepted, ready);
+    }
+  }
+});
+
+void test('relayed reports are accepted under authority only, and none with a newer token', async () => {
+  const cases: [name: string, token: number, loses: boolean, outcome: string][] = [
+    ['an older token', 3, false, 'accepted'],
+    ['a newer token', EPOCH + 1, false, 'refused'],
+    ['authority ended while it was taken', 3, true, 'refused'],
+  ];
+  for (const [name, token, loses, outcome] of cases) {
+    const { workers, term, lose } = leadingNode({ kind: 'absent' });
+    const take = term.takeRelayedReport;
+    Object.assign(term, {
+      takeRelayedReport: () => {
+        if (loses) lose();
+        return take();
+      },
+    });
+    const full = { kind: 'full' as const, report: report('vm-1', token) };
+    const response = await workers.handleRelayed(NodeId('node-1'), EPOCH, [full]);
+    assert.ok(response.type === 'reportResponses');
+    assert.equal(response.responses[0]?.outcome, outcome, name);
+  }
+});
+
+void test('whether a leader redirects workers: neither early nor to and fro', () => {
+  const cases: [machines: number, cpu: number, before: boolean, redirects: boolean][] = [
+    [200, 0.2, false, false],
+    [300, 0.05, false, true],
+    [65, 0.05, true, true],
+    [65, 0.05, false, false],
+    [50, 0.05, true, false],
+  ];
+  for (const [machines, cpu, before, redirects] of cases) {
+    const load = { machines, report: seconds(3), cpu };
+    assert.equal(redirectsWorkers(before, load), redirects, `${machines}`);
+  }
+});
+
+void test('a leader that is too small sends workers to others, and serves those that are back', async () => {
+  const { workers, term, peers } = leadingNode({ kind: 'absent' });
+  Object.assign(term, { redirectsWorkers: true });
+  const status = async (box: string) => (await workers.handle(encode(report(box)))).status;
+  assert.equal(await status('vm-0'), 200, 'no other node answers');
+  peers.set(NodeId('node-1'), { responsive: true, ask: () => Promise.resolve(undefined) });
+  assert.deepEqual(await workers.handle(encode(report('vm-1'))), {
+    status: 421,
+    body: { clerk: 'node-1' },
+  });
+  assert.equal(await status('vm-1'), 200, 'it can not reach that one');
+  const full = { kind: 'full' as const, report: report('vm-2') };
+  const relayed = await workers.handleRelayed(NodeId('node-1'), EPOCH, [full]);
+  assert.ok(relayed.type === 'reportResponses');
+  assert.equal(relayed.responses[0]?.outcome, 'accepted', 'carried by another node');
+});
