--- a/src/api/user-requests.ts
+++ b/src/api/user-requests.ts
@@ -20,9 +20,12 @@
 import type { Leadership } from './leadership.js';
 import { ISOLATED, METHOD_NOT_ALLOWED, NO_SUCH_JOB, TRY_AGAIN, type Reply } from './reply.js';
 
-/** A node that gets no response in time takes the job in itself, and the record settles it. */
-const RELAY_SUBMIT_TIMEOUT = ms(600);
-const RELAY_READ_TIMEOUT = ms(800);
+/**
+ * A node that gets no response in time takes the job in itself, and the record settles it. That costs more
+ * than an answer that is late, so a leader that has much to do is waited for.
+ */
+const RELAY_SUBMIT_TIMEOUT = ms(1500);
+const RELAY_READ_TIMEOUT = ms(1200);
 const RELAY_CANCEL_TIMEOUT = ms(1500);
 /** A node that could not write a submission for this long says so at once. */
 const MAX_OWN_WRITE_WAIT = ms(1000);
--- a/src/peer/channel.ts
+++ b/src/peer/channel.ts
@@ -2,7 +2,7 @@
 import net from 'node:net';
 import { pipeline } from 'node:stream/promises';
 import type { Logger } from 'pino';
-import { SteadyMs, later, ms, type Clock, type DurationMs, type Endpoint } from '../units/index.js';
+import { SteadyMs, later, ms, since, type Clock, type DurationMs, type Endpoint } from '../units/index.js';
 import { Deframer, Framer } from './framing.js';
 import {
   decodeRequest,
@@ -25,6 +25,11 @@
 const CONNECT_TIMEOUT = ms(700);
 const RECONNECT_PAUSE = ms(500);
 const MAX_REQUEST_ID = 0x7fffffff;
+/**
+ * A node that has left everything unanswered for this long counts as gone. One that only has much to do
+ * answers late: to pass it by would put its work on nodes that can't do it, and make it later still.
+ */
+const UNRESPONSIVE_AFTER = ms(2500);
 
 /** A kept connection to another node, dialled again when it breaks. */
 export class PeerLink implements Peer {
@@ -33,7 +38,8 @@
   private connected = false;
   private nextId = 1;
   private readonly pending = new Map<number, (response: PeerResponse | undefined) => void>();
-  private suspect = true;
+  /** Since when the other side has answered nothing though something was asked. */
+  private silentSince: SteadyMs | undefined;
   private dialAgainAt = SteadyMs(0);
   private closed = false;
 
@@ -44,7 +50,13 @@
   ) {}
 
   get responsive(): boolean {
-    return this.connected && !this.suspect;
+    return this.connected && !this.isSilent;
+  }
+
+  private get isSilent(): boolean {
+    const { silentSince } = this;
+    const now = this.clock.steady();
+    return silentSince !== undefined && since(silentSince, now) > UNRESPONSIVE_AFTER;
   }
 
   close(): void {
@@ -78,6 +90,7 @@
     pipeline(socket, new Deframer(), async (frames: AsyncIterable<Buffer>) => {
       for await (const frame of frames) {
         const { id, message } = decodeResponse(frame);
+        this.silentSince = undefined;
         this.pending.get(id)?.(message);
       }
     }).then(
@@ -92,7 +105,7 @@
     this.socket = undefined;
     this.framer = undefined;
     this.connected = false;
-    this.suspect = true;
+    this.silentSince = undefined;
     this.dialAgainAt = later(this.clock.steady(), RECONNECT_PAUSE);
     socket?.destroy();
     for (const settle of [...this.pending.values()]) settle(undefined);
@@ -112,13 +125,11 @@
         resolve(r);
       };
       this.pending.set(id, settle);
+      this.silentSince ??= this.clock.steady();
       framer.write(encodeRequest(id, request));
     });
-    this.suspect = response === undefined;
-    // A node that does not even answer a heartbeat is dialled anew: the connection may lead nowhere.
-    if (!response && request.type === 'heartbeat' && this.framer === framer) {
-      this.drop('no answer to a heartbeat');
-    }
+    // The connection may lead nowhere.
+    if (!response && this.framer === framer && this.isSilent) this.drop('no answers');
     return response;
   }
 }
