--- a/src/peer/channel.ts
+++ b/src/peer/channel.ts
@@ -2,7 +2,15 @@
 import net from 'node:net';
 import { pipeline } from 'node:stream/promises';
 import type { Logger } from 'pino';
-import { SteadyMs, later, ms, since, type Clock, type DurationMs, type Endpoint } from '../units/index.js';
+import {
+  SteadyMs,
+  later,
+  ms,
+  since,
+  type Clock,
+  type DurationMs,
+  type Endpoint,
+} from '../units/index.js';
 import { Deframer, Framer } from './framing.js';
 import {
   decodeRequest,
