--- a/src/placer/placer.ts
+++ b/src/placer/placer.ts
@@ -89,6 +89,10 @@
   readonly spot: boolean;
   readonly total: Size;
   readonly slots: Slot[];
+  /** Those of its machines with room for the smallest task that waits: all that a search need look at. */
+  open: Slot[];
+  /** How many of its machines are claimed. */
+  claims: number;
   /** Something that fits nowhere else wants it. */
   contested: boolean;
 }
@@ -129,6 +133,8 @@
   constructor(
     hosts: readonly Host[],
     private readonly reserve: Reserve,
+    /** No task that is to be placed takes fewer processors. */
+    leastCpus: number,
   ) {
     const kinds = new Map<string, Kind>();
     let cpus = 0;
@@ -141,12 +147,14 @@
       let kind = kinds.get(key);
       if (!kind) {
         const { build, hall, spot, total } = host;
-        kind = { build, hall, spot, total, slots: [], contested: false };
+        kind = { build, hall, spot, total, slots: [], open: [], claims: 0, contested: false };
         kinds.set(key, kind);
       }
       const { cpus: free, gpus, ramGb } = host.free;
       const coming = host.fetching;
-      kind.slots.push({ host, kind, cpus: free, gpus, ramGb, coming, claimed: 'no' });
+      const slot: Slot = { host, kind, cpus: free, gpus, ramGb, coming, claimed: 'no' };
+      kind.slots.push(slot);
+      if (free >= leastCpus - EPS) kind.open.push(slot);
     }
     this.kinds = [...kinds.values()];
     this.cpus = cpus;
@@ -203,7 +211,8 @@
   most: number,
   reserve: Reserve = new Map(),
 ): Assignment[] {
-  const room = new Room(hosts, reserve);
+  const leastCpus = wants.reduce((least, w) => Math.min(least, w.size.cpus), Infinity);
+  const room = new Room(hosts, reserve, leastCpus);
   const queue = wants.map((want, order) => {
     const suited = room.suited(want);
     return { want, order, suited, bound: room.isBound(suited) };
@@ -242,7 +251,7 @@
   for (const kind of suited) {
     // What others can't do without is taken last by those who can.
     const tier = kind.contested && !bound && !want.urgent ? 1000 : 0;
-    for (const slot of kind.slots) {
+    for (const slot of kind.open) {
       if (slot.claimed === 'firmly' || (slot.claimed === 'yes' && !want.mustBegin)) continue;
       if (!fits(want.size, slot) || want.avoid.has(slot.host.id)) continue;
       candidates.push({ slot, score: tier + delay(want, slot) });
@@ -311,18 +320,20 @@
   const open: Slot[] = [];
   for (const kind of suited) {
     of += kind.slots.length;
-    const large = want.size.cpus * 2 >= kind.total.cpus - EPS;
-    for (const s of kind.slots) {
-      if (s.claimed !== 'no') held++;
-      else if (large && !fits(want.size, s)) open.push(s);
-    }
+    held += kind.claims;
   }
-  open.sort((a, b) => b.cpus - a.cpus || (a.host.id < b.host.id ? -1 : 1));
   const most = Math.max(1, Math.floor(of * MOST_CLAIMED));
+  if (held >= most) return;
+  for (const kind of suited) {
+    if (want.size.cpus * 2 < kind.total.cpus - EPS) continue;
+    for (const s of kind.slots) if (s.claimed === 'no' && !fits(want.size, s)) open.push(s);
+  }
+  open.sort((a, b) => b.cpus - a.cpus || (a.host.id < b.host.id ? -1 : 1));
   let left = missing;
   for (const s of open) {
     if (left <= 0 || held >= most) break;
     s.claimed = want.rank < 0 ? 'firmly' : 'yes';
+    s.kind.claims++;
     held++;
     left -= Math.max(1, Math.floor((s.host.total.cpus + EPS) / want.size.cpus));
   }
--- a/src/relay/report-relay.ts
+++ b/src/relay/report-relay.ts
@@ -19,6 +19,10 @@
 const LEADER_POLL = ms(100);
 /** Reports and their orders together must fit a frame of the channel, which takes a little over 64 KiB. */
 const MAX_BATCH_BYTES = 40 * 1024;
+/** A leader that has just taken over works through a batch in one go, and must renew its lease meanwhile. */
+const MAX_BATCH_REPORTS = 40;
+/** Nobody waits any more for the answer to a report that came longer ago: workers give up after 4 s. */
+const ABANDONED_AFTER = ms(3500);
 /** Baselines of machines that went elsewhere are dropped now and then. */
 const MAX_BASELINES = 4000;
 const BASELINE_IDLE = ms(30_000);
@@ -33,7 +37,9 @@
 interface PendingReport {
   readonly report: Beat;
   readonly bytes: number;
+  /** Until when it waits for a leader that may answer it. */
   readonly waitsUntil: SteadyMs;
+  readonly abandonedAt: SteadyMs;
   /** Sent in full, whatever the leader may know. */
   readonly full: boolean;
   readonly settle: (reply: BeatReply | undefined) => void;
@@ -45,6 +51,7 @@
   /** The epoch under which the baselines were given. */
   private epoch = 0;
   private scheduled = false;
+  private underWay = false;
   private sentAt: SteadyMs | undefined;
 
   constructor(
@@ -58,13 +65,15 @@
     const now = this.clock.steady();
     return new Promise((settle) => {
       const waitsUntil = later(now, MAX_LEADER_WAIT);
-      this.pending.push({ report, bytes, waitsUntil, full: false, settle });
+      const abandonedAt = later(now, ABANDONED_AFTER);
+      this.pending.push({ report, bytes, waitsUntil, abandonedAt, full: false, settle });
       this.schedule();
     });
   }
 
+  /** One batch is under way at a time: a leader that has much to do gets fewer and fuller ones. */
   private schedule(): void {
-    if (this.scheduled || this.pending.length === 0) return;
+    if (this.scheduled || this.underWay || this.pending.length === 0) return;
     this.scheduled = true;
     const now = this.clock.steady();
     const rest = this.sentAt === undefined ? 0 : BATCH_WINDOW - since(this.sentAt, now);
@@ -79,9 +88,13 @@
       return;
     }
     this.sentAt = this.clock.steady();
-    const batch = this.takeBatch();
-    if (batch.length > 0) void this.sendBatch(peer, batch);
-    this.schedule();
+    const batch = this.takeBatch(this.sentAt);
+    if (batch.length === 0) return;
+    this.underWay = true;
+    void this.sendBatch(peer, batch).finally(() => {
+      this.underWay = false;
+      this.schedule();
+    });
   }
 
   private waitForLeader(): void {
@@ -97,15 +110,22 @@
     this.clock.after(LEADER_POLL, () => this.flush());
   }
 
-  private takeBatch(): PendingReport[] {
+  private takeBatch(now: SteadyMs): PendingReport[] {
     const batch: PendingReport[] = [];
     let bytes = 0;
+    let taken = 0;
     for (const p of this.pending) {
-      bytes += p.bytes;
-      if (batch.length > 0 && bytes > MAX_BATCH_BYTES) break;
-      batch.push(p);
+      if (now > p.abandonedAt) {
+        p.settle(undefined);
+      } else {
+        const full = batch.length >= MAX_BATCH_REPORTS || bytes + p.bytes > MAX_BATCH_BYTES;
+        if (batch.length > 0 && full) break;
+        bytes += p.bytes;
+        batch.push(p);
+      }
+      taken++;
     }
-    this.pending = this.pending.slice(batch.length);
+    this.pending = this.pending.slice(taken);
     return batch;
   }
 
@@ -125,7 +145,6 @@
       const answer = response.responses[i];
       if (answer) this.settle(p, answer, response.epoch);
     }
-    this.schedule();
   }
 
   private settle(p: PendingReport, answer: ReportResponse, epoch: number): void {
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -62,6 +62,8 @@
   leaderless: { requests: 0.95, writes: 0.95 },
 };
 
+const PAGE_ITEMS = 40;
+
 interface Waiting {
   readonly writes: number;
   readonly until: SteadyMs;
@@ -224,14 +226,17 @@
     };
   }
 
-  /** Every key under a prefix, page by page; undefined if a page could not be had. */
+  /**
+   * Every key under a prefix, page by page; undefined if a page could not be had. Pages are small, so that
+   * a process with little processor time gets to its other work, above all its lease, between them.
+   */
   async list(prefix: string, timeout: DurationMs, urgent = false): Promise<Listed | undefined> {
     const items: { key: string; data: unknown; stamp: Revision }[] = [];
     let from: string | undefined;
     for (;;) {
       // Keys hold no character that a query would have to escape.
       const after = from === undefined ? '' : `&from=${from}`;
-      const path = `/store?starts=${prefix}${after}&limit=200`;
+      const path = `/store?starts=${prefix}${after}&limit=${PAGE_ITEMS}`;
       const o = await this.send({ method: 'GET', path, timeout }, { urgent });
       if (o.kind !== 'answer' || o.status !== 200) return undefined;
       const page = Page.safeParse(o.body);
--- a/test/unit/placer.test.ts
+++ b/test/unit/placer.test.ts
@@ -190,6 +190,11 @@
       const once = place(wantList, hostList, new Map([['t', { cpus: limit, gpus: limit }]]), 50);
       const twice = place(wantList, hostList, new Map([['t', { cpus: limit, gpus: limit }]]), 50);
       assert.deepEqual(once, twice, 'the same input gives the same placements');
+      // Beside a job of tiny tasks, none of which waits, every machine is looked at.
+      const tiny = want('tiny', 0, { size: { cpus: 0, gpus: 0, ramGb: 0 }, rank: 99 });
+      const limits = new Map([['t', { cpus: limit, gpus: limit }]]);
+      const plain = place([...wantList, tiny], hostList, limits, 50);
+      assert.deepEqual(once, plain, 'machines that are passed over could hold nothing');
       const used = new Map<string, Size>();
       const zones = new Map<string, Map<string, number>>();
       let team = 0;
