--- a/src/capacity/keeper.ts
+++ b/src/capacity/keeper.ts
@@ -8,9 +8,9 @@
 import { fits, less, sizeOfFlavor, sizeOfSpec, type Size } from '../fleet/size.js';
 import { dueBy, type Place } from '../ledger/queue.js';
 import { Backoff } from '../store/budget.js';
+import type { SteadyMs } from '../units/index.js';
 import {
   MachineId,
-  SteadyMs,
   later,
   ms,
   seconds,
@@ -19,9 +19,11 @@
   type DurationMs,
   type Epoch,
   type JobId,
+  type NodeId,
   type Random,
 } from '../units/index.js';
 import type { Box, Hire, JobSpec, Urgency } from '../wire/index.js';
+import { lostMachines } from './lost-machines.js';
 import {
   NEVER,
   NO_WAIT,
@@ -40,6 +42,8 @@
   readonly silentAfter: DurationMs;
   /** Since when reports are answered without a break. */
   listeningSince(): SteadyMs;
+  /** When each other node was last known not to answer us. */
+  readonly unreachableAt: ReadonlyMap<NodeId, SteadyMs>;
   queue(): Place[];
   spec(job: JobId): JobSpec | undefined;
   /** Urgent work that may be submitted next. */
@@ -73,15 +77,9 @@
 const FLAVORS_EVERY = seconds(60);
 const LIST_LEAST = seconds(4);
 const PLAN_EVERY = seconds(1);
-/** A boot counts on its way for this many times the usual, and is given up after that many. */
+/** A boot counts on its way for this many times the usual. */
 const BOOT_LATE = 2;
-const BOOT_LOST = 4;
-/** Periods of silence, in reports: of a machine that the list lacks, of one alone, behind a cut. */
-const VANISHED_REPORTS = 1.5;
-const SILENT_REPORTS = 2.75;
-const CUT_REPORTS = 7;
-/** A machine that hears nothing is given back after so many worker leases. */
-const DEAF_LEASES = 1.2;
+const UNKNOWN_BOOT_S = 60;
 const REFUSED_FIRST = seconds(8);
 const REFUSED_MOST = seconds(60);
 const MOST_NEW = 100;
@@ -323,49 +321,17 @@
     return { coming, turnover };
   }
 
-  /** Machines to be deleted at once: never booted, failed, vanished, or silent with tasks. */
   private lost(now: SteadyMs): Machine[] {
-    const out: Machine[] = [];
     const { report, lease } = this.deps.settings.workers;
-    const heard = new Map<string, number>();
-    const total = new Map<string, number>();
-    const silent: { m: Machine; quiet: number }[] = [];
-    const deaf: Machine[] = [];
-    for (const m of this.machines.values()) {
-      if (m.deleteSent) {
-        out.push(m);
-        continue;
-      }
-      const ready = (this.catalog.flavor(m.place.build)?.ready_s ?? 60) * 1000;
-      if (m.bootingSince !== undefined && since(m.bootingSince, now) > ready * BOOT_LOST) {
-        out.push(m);
-        continue;
-      }
-      const last = m.lastHeard ?? m.runsSince;
-      if (last === undefined) continue;
-      if (m.deafSince !== undefined && since(m.deafSince, now) > lease * DEAF_LEASES) deaf.push(m);
-      // Silence counts only while we listened: not before we led, nor while we answered 503.
-      const quiet = since(SteadyMs(Math.max(last, this.view.listeningSince())), now);
-      const zone = m.place.hall;
-      total.set(zone, (total.get(zone) ?? 0) + 1);
-      if (m.missedLists >= 1 && quiet > report * VANISHED_REPORTS) out.push(m);
-      // Not heard yet under this epoch: hundreds may be on their way back to us at once, and those that
-      // get through first say nothing of the others. In the end its lease tells.
-      else if (m.lastHeard === undefined && quiet <= report * CUT_REPORTS) continue;
-      else if (quiet > report * SILENT_REPORTS) silent.push({ m, quiet });
-      else heard.set(zone, (heard.get(zone) ?? 0) + 1);
-    }
-    for (const { m, quiet } of silent) {
-      const zone = m.place.hall;
-      // Where most of a zone is heard, a silent machine is dead. Where it is not, we may be cut off
-      // from it: its tasks run on, and its worker may yet reach us through another node.
-      const alone = 2 * (heard.get(zone) ?? 0) > (total.get(zone) ?? 0);
-      if (alone || !m.up || quiet > report * CUT_REPORTS) out.push(m);
-    }
-    // What a deaf machine had is over once its lease ran out. If most are deaf, it may be our own fault.
-    if (2 * deaf.length < this.machines.size)
-      for (const m of deaf) if (!out.includes(m)) out.push(m);
-    return out.slice(0, MAX_DELETE);
+    const lost = lostMachines(this.machines.values(), {
+      now,
+      listeningSince: this.view.listeningSince(),
+      report,
+      lease,
+      bootTime: (type) => seconds(this.catalog.flavor(type)?.ready_s ?? UNKNOWN_BOOT_S),
+      unreachableAt: this.view.unreachableAt,
+    });
+    return lost.slice(0, MAX_DELETE);
   }
 
   private idle(now: SteadyMs): Machine[] {
--- /dev/null
+++ b/src/capacity/lost-machines.ts
@@ -0,0 +1,105 @@
+/** Which machines are to be deleted because they are gone, or as good as gone: decided by silence. */
+import type { Machine } from '../fleet/machine.js';
+import { SteadyMs, ms, since, type DurationMs, type NodeId } from '../units/index.js';
+
+/** A boot is given up after this many times the usual. */
+const BOOT_LOST = 4;
+/** Periods of silence, in reports: of a machine that the cloud's list lacks; of any other. */
+const VANISHED_REPORTS = 1.5;
+const SILENT_REPORTS = 2.75;
+/** The same where something else than the machine's end may explain its silence. */
+const EXPLAINED_REPORTS = 7;
+/** A machine that hears nothing is given back after so many worker leases. */
+const DEAF_LEASES = 1.2;
+
+export interface SilenceView {
+  readonly now: SteadyMs;
+  /** Since when this process has answered reports without a break. */
+  readonly listeningSince: SteadyMs;
+  readonly report: DurationMs;
+  readonly lease: DurationMs;
+  /** How long a machine of that type usually takes to boot. */
+  readonly bootTime: (machineType: string) => DurationMs;
+  /** When another node was last known not to answer us. */
+  readonly unreachableAt: ReadonlyMap<NodeId, SteadyMs>;
+}
+
+/** Never booted, vanished from the list, silent, or deaf for too long; and what was told to go before. */
+export function lostMachines(machines: Iterable<Machine>, view: SilenceView): Machine[] {
+  const lost: Machine[] = [];
+  const silent: Machine[] = [];
+  const deaf: Machine[] = [];
+  const zones = new ZoneContact();
+  let total = 0;
+  for (const m of machines) {
+    total++;
+    if (m.deleteSent || isBootLost(m, view)) {
+      lost.push(m);
+      continue;
+    }
+    const quiet = silenceOf(m, view);
+    if (quiet === undefined) continue;
+    if (m.deafSince !== undefined && since(m.deafSince, view.now) > view.lease * DEAF_LEASES) {
+      deaf.push(m);
+    }
+    zones.count(m);
+    if (m.missedLists >= 1 && quiet > view.report * VANISHED_REPORTS) lost.push(m);
+    else if (isOnItsWay(m, view) && quiet <= view.report * EXPLAINED_REPORTS) continue;
+    else if (quiet > view.report * SILENT_REPORTS) silent.push(m);
+    else zones.countHeard(m);
+  }
+  for (const m of silent) {
+    const quiet = silenceOf(m, view) ?? 0;
+    // Where most of a zone is heard, a silent machine is dead. Where it is not, we may be cut off
+    // from it: its tasks run on, and its worker may yet reach us through another node.
+    if (zones.isMostlyHeard(m) || !m.up || quiet > view.report * EXPLAINED_REPORTS) lost.push(m);
+  }
+  // What a deaf machine had is over once its lease ran out. If most are deaf, it may be our own fault.
+  if (2 * deaf.length < total) for (const m of deaf) if (!lost.includes(m)) lost.push(m);
+  return lost;
+}
+
+function isBootLost(m: Machine, { now, bootTime }: SilenceView): boolean {
+  if (m.bootingSince === undefined) return false;
+  return since(m.bootingSince, now) > bootTime(m.place.build) * BOOT_LOST;
+}
+
+/** How long it has been silent; undefined if it was never to be heard yet. */
+function silenceOf(m: Machine, { now, listeningSince }: SilenceView): DurationMs | undefined {
+  const last = m.lastHeard ?? m.runsSince;
+  if (last === undefined) return undefined;
+  // Silence counts only while we listened: not before we led, nor while we answered 503.
+  return since(SteadyMs(Math.max(last, listeningSince)), now);
+}
+
+/**
+ * Whether its worker may be looking for a way to us. Hundreds may do so at once after a change of leader,
+ * or after the end of the node that they reported through; those that get through first say nothing of
+ * the others. In the end the worker's lease tells.
+ */
+function isOnItsWay(m: Machine, { unreachableAt }: SilenceView): boolean {
+  if (m.lastHeard === undefined) return true;
+  const lost = m.reportsThrough === undefined ? undefined : unreachableAt.get(m.reportsThrough);
+  return lost !== undefined && lost >= m.lastHeard;
+}
+
+/** How much of each zone is heard. */
+class ZoneContact {
+  private readonly total = new Map<string, number>();
+  private readonly heard = new Map<string, number>();
+
+  count({ place }: Machine): void {
+    this.total.set(place.hall, (this.total.get(place.hall) ?? 0) + 1);
+  }
+
+  countHeard({ place }: Machine): void {
+    this.heard.set(place.hall, (this.heard.get(place.hall) ?? 0) + 1);
+  }
+
+  isMostlyHeard({ place }: Machine): boolean {
+    return 2 * (this.heard.get(place.hall) ?? 0) > (this.total.get(place.hall) ?? 0);
+  }
+}
+
+/** How long a machine that answers nothing counts as silent rather than dead. */
+export const silentAfter = (report: DurationMs): DurationMs => ms(report * SILENT_REPORTS);
--- a/src/leader/dispatch.ts
+++ b/src/leader/dispatch.ts
@@ -1,3 +1,4 @@
+import { silentAfter } from '../capacity/lost-machines.js';
 import type { Machine } from '../fleet/machine.js';
 import { less, sizeOfFlavor, sizeOfSpec } from '../fleet/size.js';
 import { openTaskLimit } from '../ledger/codec.js';
@@ -224,9 +225,8 @@
     return hosts;
   }
 
-  /** When a machine counts as silent: two reports and a bit are missing. */
   get silentAfter(): DurationMs {
-    return ms(this.deps.settings.workers.report * 2.75);
+    return silentAfter(this.deps.settings.workers.report);
   }
 
   expected(): { spec: JobSpec; count: number }[] {
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -64,6 +64,7 @@
   private ruled = true;
   private redirecting = false;
   private listening: SteadyMs;
+  private readonly unreachableAt = new Map<NodeId, SteadyMs>();
   private ticked: SteadyMs;
   private closed = false;
   /** Resolves once the term is ready or closed, or has taken too long to become ready. */
@@ -111,6 +112,7 @@
         fleet: this.fleet,
         silentAfter: this.dispatch.silentAfter,
         listeningSince: () => this.listening,
+        unreachableAt: this.unreachableAt,
         queue: () => this.dispatch.queue(),
         spec: (id) => this.ledger.jobs.get(id)?.spec,
         expected: () => this.dispatch.expected(),
@@ -185,6 +187,7 @@
       const behind = since(this.ticked, now) > TICK + BEHIND;
       if (ruling && (!this.ruled || behind)) this.listening = now;
       this.ruled = ruling;
+      this.notePeers(now);
       this.orders.busy = since(this.ticked, now) > TICK + BUSY;
       this.expire();
       if (ruling) {
@@ -209,6 +212,12 @@
     this.ticker = this.deps.clock.after(TICK, () => this.tick());
   }
 
+  private notePeers(now: SteadyMs): void {
+    for (const [node, peer] of this.deps.peers) {
+      if (!peer.responsive) this.unreachableAt.set(node, now);
+    }
+  }
+
   /** Now and then, for those on call: what there is, what is in use, and what waits. */
   private tellFleet(): void {
     const now = this.deps.clock.steady();
--- a/test/standin/load.ts
+++ b/test/standin/load.ts
@@ -20,7 +20,7 @@
   .option('--machines <n>', 'about how many machines the jobs keep busy', Number, 300)
   .option('--warm <s>', 'seconds before it is measured', Number, 60)
   .option('--seconds <s>', 'seconds that are measured', Number, 60)
-  .option('--node <flags>', 'flags for node, such as --import FILE', '--max-semi-space-size=2')
+  .option('--node <flags>', 'flags for node, such as --import FILE', '--max-semi-space-size=8')
   .parse()
   .opts<{ main: string[]; machines: number; warm: number; seconds: number; node: string }>();
 
