--- a/src/capacity/lost-machines.ts
+++ b/src/capacity/lost-machines.ts
@@ -9,6 +9,11 @@
 const SILENT_REPORTS = 2.75;
 /** The same where something else than the machine's end may explain its silence. */
 const EXPLAINED_REPORTS = 7;
+/**
+ * While most of a zone has not found its way back to us, none of it is given up for this many worker
+ * leases: its tasks are over after one, and a machine that is well is worth more than a new one.
+ */
+const RETURN_LEASES = 2;
 /** A machine that hears nothing is given back after so many worker leases. */
 const DEAF_LEASES = 1.2;
 
@@ -48,12 +53,9 @@
     else if (quiet > view.report * SILENT_REPORTS) silent.push(m);
     else zones.countHeard(m);
   }
-  for (const m of silent) {
-    const quiet = silenceOf(m, view) ?? 0;
-    // Where most of a zone is heard, a silent machine is dead. Where it is not, we may be cut off
-    // from it: its tasks run on, and its worker may yet reach us through another node.
-    if (zones.isMostlyHeard(m) || !m.up || quiet > view.report * EXPLAINED_REPORTS) lost.push(m);
-  }
+  // Where most of a zone is heard, a silent machine is dead. Where it is not, we may be cut off
+  // from it: its tasks run on, and its worker may yet reach us through another node.
+  for (const m of silent) if (zones.isMostlyHeard(m) || isGivenUp(m, view)) lost.push(m);
   // What a deaf machine had is over once its lease ran out. If most are deaf, it may be our own fault.
   if (2 * deaf.length < total) for (const m of deaf) if (!lost.includes(m)) lost.push(m);
   return lost;
@@ -83,6 +85,13 @@
   return lost !== undefined && lost >= m.lastHeard;
 }
 
+/** Whether it is silent for too long even if its whole zone is. */
+function isGivenUp(m: Machine, view: SilenceView): boolean {
+  const quiet = silenceOf(m, view) ?? 0;
+  if (isOnItsWay(m, view)) return quiet > view.lease * RETURN_LEASES;
+  return !m.up || quiet > view.report * EXPLAINED_REPORTS;
+}
+
 /** How much of each zone is heard. */
 class ZoneContact {
   private readonly total = new Map<string, number>();
--- a/test/unit/lost-machines.test.ts
+++ b/test/unit/lost-machines.test.ts
@@ -59,4 +59,10 @@
   };
   assert.deepEqual(lostMachines(all, view), []);
   assert.equal(lostMachines(all, { ...view, now: at(113) }).length, 2, 'for longer than that');
+  // Hundreds that come back to a new leader, or after the end of their follower, take their time.
+  const back = [machine('m', undefined), machine('n', 91, { reportsThrough: FOLLOWER })];
+  const unreachableAt = new Map([[FOLLOWER, at(95)]]);
+  const slow = (s: number) =>
+    lostMachines(back, { ...view, unreachableAt, listeningSince: at(91), now: at(s) }).length;
+  assert.deepEqual([slow(113), slow(138), slow(140)], [0, 0, 2]);
 });
