--- a/src/api/worker-reports.ts
+++ b/src/api/worker-reports.ts
@@ -9,8 +9,10 @@
 import {
   MachineId,
   later,
+  ms,
   seconds,
   since,
+  sleep,
   type Clock,
   type NodeId,
   type SteadyMs,
@@ -21,6 +23,11 @@
 
 /** A leader that ended is known to have after about its lease: one that is silent for longer is cut off. */
 const LEADER_CUT_OFF = seconds(5);
+/**
+ * So many relayed reports are taken in one go. A leader that has just taken over has hundreds of them to
+ * take, by code that is not compiled yet, and must get to the renewal of its lease meanwhile.
+ */
+const REPORTS_PER_TURN = 20;
 /** A worker that was redirected and is back this soon can't reach the node that it was sent to. */
 const REDIRECT_BOUNCE = seconds(9);
 /** For so long such a worker is served here. */
@@ -107,7 +114,14 @@
   ): Promise<PeerResponse> {
     const term = this.leadership.authorisedTerm();
     if (!term || !(await this.isRebuilt(term))) return allRefused(reports.length);
-    const responses = reports.map((r) => this.takeRelayed(term, sender, epoch, r));
+    const responses: ReportResponse[] = [];
+    for (const relayed of reports) {
+      if (responses.length > 0 && responses.length % REPORTS_PER_TURN === 0) {
+        await sleep(this.clock, ms(0));
+        if (this.leadership.authorisedTerm() !== term) return allRefused(reports.length);
+      }
+      responses.push(this.takeRelayed(term, sender, epoch, relayed));
+    }
     // A 200 may follow from this response only if authority stands now that all of them are taken.
     if (this.leadership.authorisedTerm() !== term) return allRefused(reports.length);
     return { type: 'reportResponses', epoch: term.epoch, responses };
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -15,7 +15,7 @@
   type DurationMs,
   type Epoch,
   type NodeId,
-  type SteadyMs,
+  SteadyMs,
   type Timer,
 } from '../units/index.js';
 import type { RelayedReport } from '../peer/messages.js';
@@ -33,6 +33,10 @@
 const BEHIND = seconds(1);
 /** So much later, that it has no time for what can be left to the answers to reports. */
 const BUSY = ms(150);
+/** So much later, that this holds for urgent work too, and renting waits. */
+const OVERLOADED = ms(600);
+/** Renting is put off by no more ticks in a row than these. */
+const MAX_RENTING_PUT_OFF = 5;
 const HINTS_EVERY = seconds(4);
 const FLEET_EVERY = seconds(10);
 const STORE_TIMEOUT = ms(2000);
@@ -64,6 +68,7 @@
   private ruled = true;
   private redirecting = false;
   private listening: SteadyMs;
+  private rentingPutOff = 0;
   private readonly unreachableAt = new Map<NodeId, SteadyMs>();
   private ticked: SteadyMs;
   private closed = false;
@@ -169,6 +174,8 @@
       'rebuilt from the records',
     );
     void this.watchNotices();
+    // As if it were overloaded: all workers are about to report, and first of all they are to be answered.
+    this.ticked = SteadyMs(this.deps.clock.steady() - TICK - OVERLOADED - 1);
     this.tick();
   }
 
@@ -188,7 +195,8 @@
       if (ruling && (!this.ruled || behind)) this.listening = now;
       this.ruled = ruling;
       this.notePeers(now);
-      this.orders.busy = since(this.ticked, now) > TICK + BUSY;
+      const lateness = since(this.ticked, now) - TICK;
+      this.orders.load = lateness > OVERLOADED ? 'overloaded' : lateness > BUSY ? 'busy' : 'normal';
       this.expire();
       if (ruling) {
         const { workers, limits } = this.deps.settings;
@@ -201,7 +209,7 @@
         this.sendHints();
         this.tellFleet();
         this.dispatch.wake();
-        this.capacity.tick();
+        this.rent();
         this.orders.askSilent(this.fleet.machines.values(), this.dispatch.silentAfter);
       }
       this.ledger.kick();
@@ -212,6 +220,16 @@
     this.ticker = this.deps.clock.after(TICK, () => this.tick());
   }
 
+  /** Planning what to rent takes long, and longest right after a takeover, when the rest must not wait. */
+  private rent(): void {
+    if (this.orders.load === 'overloaded' && this.rentingPutOff < MAX_RENTING_PUT_OFF) {
+      this.rentingPutOff++;
+      return;
+    }
+    this.rentingPutOff = 0;
+    this.capacity.tick();
+  }
+
   private notePeers(now: SteadyMs): void {
     for (const [node, peer] of this.deps.peers) {
       if (!peer.responsive) this.unreachableAt.set(node, now);
--- a/src/relay/report-relay.ts
+++ b/src/relay/report-relay.ts
@@ -19,8 +19,6 @@
 const LEADER_POLL = ms(100);
 /** Reports and their orders together must fit a frame of the channel, which takes a little over 64 KiB. */
 const MAX_BATCH_BYTES = 40 * 1024;
-/** A leader that has just taken over works through a batch in one go, and must renew its lease meanwhile. */
-const MAX_BATCH_REPORTS = 40;
 /** Nobody waits any more for the answer to a report that came longer ago: workers give up after 4 s. */
 const ABANDONED_AFTER = ms(3500);
 /** Baselines of machines that went elsewhere are dropped now and then. */
@@ -118,8 +116,7 @@
       if (now > p.abandonedAt) {
         p.settle(undefined);
       } else {
-        const full = batch.length >= MAX_BATCH_REPORTS || bytes + p.bytes > MAX_BATCH_BYTES;
-        if (batch.length > 0 && full) break;
+        if (batch.length > 0 && bytes + p.bytes > MAX_BATCH_BYTES) break;
         bytes += p.bytes;
         batch.push(p);
       }
--- a/test/unit/orders.test.ts
+++ b/test/unit/orders.test.ts
@@ -5,9 +5,10 @@
 import { leaseEnd, toReport } from '../../src/fleet/machine.js';
 import type { Board } from '../../src/leader/board.js';
 import type { TermDeps } from '../../src/leader/deps.js';
-import { Orders } from '../../src/leader/orders.js';
+import { Orders, type LeaderLoad } from '../../src/leader/orders.js';
 import { Job } from '../../src/ledger/job.js';
 import { Epoch, JobId, MachineId, Revision, WallMs, taskKey } from '../../src/units/index.js';
+import type { Urgency } from '../../src/wire/index.js';
 import { emptyFleet } from '../support/fleet.js';
 import { spec } from '../support/jobs.js';
 import { settingsFile } from '../support/settings.js';
@@ -30,12 +31,22 @@
 
 void test('what answers a command moves a lease only as the first word of a new session', async () => {
   const { lease } = parseSettings(settingsFile()).workers;
-  const cases: [name: string, status: number, shift: number, renewed: boolean][] = [
-    ['carried out: no report was answered', 200, 1, false],
-    ['none is sent while the process is behind', 0, 1, false],
-    ['refused in a new session: it lasts from its beginning', 409, 2, true],
+  type Case = [
+    name: string,
+    load: LeaderLoad,
+    urgency: Urgency,
+    status: number,
+    shift: number,
+    renewed: boolean,
   ];
-  for (const [name, status, shift, renewed] of cases) {
+  const cases: Case[] = [
+    ['carried out: no report was answered', 'normal', 'normal', 200, 1, false],
+    ['none is sent while the process is behind', 'busy', 'normal', 0, 1, false],
+    ['but urgent ones are', 'busy', 'high', 200, 1, false],
+    ['nor is any while it is far behind', 'overloaded', 'high', 0, 1, false],
+    ['refused in a new session: it lasts from its beginning', 'normal', 'normal', 409, 2, true],
+  ];
+  for (const [name, load, urgency, status, shift, renewed] of cases) {
     const time = new VirtualTime();
     const clock = new ProcessClock(time, 0, 0);
     const settings = parseSettings(settingsFile());
@@ -43,7 +54,7 @@
     const m = fleet.meet(id, { build: 'small', hall: 'a', spot: true }, beat.addr);
     m.take(toReport(beat), clock.steady());
     m.answered(leaseEnd(clock.steady(), lease));
-    const job = new Job(JobId('run-000001'), spec({ entries: 1 }), WallMs(0), Revision(1));
+    const job = new Job(JobId('run-000001'), spec({ entries: 1, urgency }), WallMs(0), Revision(1));
     job.place([{ index: 0, machine: id }], clock.steady());
     job.committed = job.version;
     const placed = job.placed.get(0);
@@ -76,7 +87,7 @@
     await time.run(lease);
     const before = m.expires;
     assert.ok(clock.steady() <= before);
-    orders.busy = status === 0;
+    orders.load = load;
     orders.push(id);
     await time.run(lease + 10);
     assert.equal(m.report?.shift, shift, name);
