--- a/src/api/user-requests.ts
+++ b/src/api/user-requests.ts
@@ -202,7 +202,11 @@
       const reply = await this.askLeader({ type: 'readJob', job: id }, RELAY_READ_TIMEOUT);
       if (reply) return reply;
     }
-    return this.stored(id, await this.front.lookup(JobId(id)));
+    const asked = this.clock.steady();
+    const held = await this.front.lookup(JobId(id));
+    // The store's word came late: what is not final may have changed, and its user been told so, since.
+    const late = since(asked, this.clock.steady()) > STORE_ANSWER_FRESH;
+    return late && held.kind !== 'final' ? TRY_AGAIN : this.stored(id, held);
   }
 
   private async cancel(id: string, relaying: Relaying): Promise<Reply> {
--- a/src/capacity/keeper.ts
+++ b/src/capacity/keeper.ts
@@ -309,7 +309,9 @@
         // What urgent tasks free is taken by urgent tasks to come.
         if (!spec || isUrgent(spec.urgency)) continue;
         sum.busy += spec.vcpus;
-        sum.work += spec.vcpus * spec.expected_s * 1000;
+        // One that has run for longer than estimated shows that the estimate was too low.
+        const length = Math.max(spec.expected_s * 1000, since(a.placedAt, now));
+        sum.work += spec.vcpus * length;
       }
     }
     const turnover = [...working.values()].map(({ offer, total, busy, work }) => ({
--- a/src/fleet/machine.ts
+++ b/src/fleet/machine.ts
@@ -28,6 +28,7 @@
   readonly attempt: number;
   readonly size: Size;
   readonly image: string;
+  readonly placedAt: SteadyMs;
 }
 
 /** What is in use on a machine, or may be. */
--- a/src/leader/board.ts
+++ b/src/leader/board.ts
@@ -50,6 +50,7 @@
       attempt: p.attempt,
       size: sizeOfSpec(job.spec),
       image: job.spec.bundle,
+      placedAt: p.at,
     });
   }
 
--- a/test/support/api.ts
+++ b/test/support/api.ts
@@ -19,7 +19,9 @@
 /** What answers HTTP on a node that leads until `lose` is called; its term answers when `answer` is. */
 export function leadingNode(found: Answer) {
   const settings = parseSettings(settingsFile(0));
-  const clock = new ProcessClock(new VirtualTime(), 0, 0);
+  const time = new VirtualTime();
+  const clock = new ProcessClock(time, 0, 0);
+  const front = {} as StoreFront;
   let epoch: Epoch | undefined = EPOCH;
   let answer = (): void => undefined;
   const answerLater = (): Promise<Answer> => new Promise((r) => (answer = () => r(found)));
@@ -46,7 +48,7 @@
   const users = new UserRequests(
     settings,
     leadership,
-    {} as StoreFront,
+    front,
     catalog,
     clock,
     pino({ level: 'silent' }),
@@ -57,5 +59,5 @@
   const lose = (): void => {
     epoch = undefined;
   };
-  return { users, workers, term, peers, lose, answer: () => answer() };
+  return { users, workers, term, peers, front, time, clock, lose, answer: () => answer() };
 }
--- a/test/unit/orders.test.ts
+++ b/test/unit/orders.test.ts
@@ -65,6 +65,7 @@
       attempt: placed.attempt,
       size: { cpus: 2, gpus: 0, ramGb: 4 },
       image: 'x',
+      placedAt: clock.steady(),
     });
     const deps = {
       settings,
--- a/test/unit/user-requests.test.ts
+++ b/test/unit/user-requests.test.ts
@@ -2,9 +2,10 @@
 import { test } from 'node:test';
 import { Catalog } from '../../src/cloud/catalog.js';
 import { parseSettings } from '../../src/config/settings.js';
-import { Job } from '../../src/ledger/job.js';
+import type { Held } from '../../src/ledger/front.js';
+import { Job, type Final } from '../../src/ledger/job.js';
 import type { Answer } from '../../src/leader/term.js';
-import { Revision, WallMs } from '../../src/units/index.js';
+import { Revision, WallMs, ms, sleep } from '../../src/units/index.js';
 import { encode, parseSubmission } from '../../src/wire/index.js';
 import { flavors } from '../standin/world.js';
 import { JOB, leadingNode } from '../support/api.js';
@@ -87,3 +88,27 @@
   const gang = parseSubmission(encode(spec({ shape: 'ensemble', apart: true })));
   assert.ok(gang.ok && typeof one.judge(gang.value, settings.teams) === 'object');
 });
+
+void test('a follower that reaches no leader: what the store said too long ago is not told', async () => {
+  const job = new Job(JOB, spec({}), WallMs(0), Revision(5));
+  const final: Final = { status: 'done', entries: 4, done: 4, desk: 'vision', cause: '' };
+  const cases: [name: string, held: Held, took: number, status: number][] = [
+    ['a live job, at once', { kind: 'live', job }, 100, 200],
+    ['a live job, late: it may be cancelled by now', { kind: 'live', job }, 400, 503],
+    ['no job, at once', { kind: 'absent' }, 100, 404],
+    ['no job, late: it may be accepted by now', { kind: 'absent' }, 400, 503],
+    ['one that is over, late: that does not change', { kind: 'final', final }, 400, 200],
+  ];
+  for (const [name, held, took, status] of cases) {
+    const node = leadingNode({ kind: 'absent' });
+    node.lose();
+    node.front.lookup = async () => {
+      await sleep(node.clock, ms(took));
+      return held;
+    };
+    let got = 0;
+    void node.users.handle('GET', `/v1/jobs/${JOB}`, Buffer.alloc(0)).then((r) => (got = r.status));
+    await node.time.run(1000);
+    assert.equal(got, status, name);
+  }
+});
