--- a/test/unit/fleet.test.ts
+++ b/test/unit/fleet.test.ts
@@ -109,7 +109,14 @@
       for (const [what, n, list] of moves) {
         // A job that nobody knows (3) may be reported but is never placed.
         const job = JobId(`run-${n}`);
-        const task = { job, index: 0, attempt: 1, size: sizes[n % 3]!, image: `img-${n % 2}` };
+        const task = {
+          job,
+          index: 0,
+          attempt: 1,
+          size: sizes[n % 3]!,
+          image: `img-${n % 2}`,
+          placedAt: SteadyMs(0),
+        };
         if (what === 'assign' && n < 3) m.assign(taskKey(job, 0), task);
         else if (what === 'unassign') m.unassign(taskKey(job, 0));
         else if (what === 'image') m.uses(`img-${n}`, 4);
--- a/test/unit/user-requests.test.ts
+++ b/test/unit/user-requests.test.ts
@@ -108,6 +108,7 @@
     };
     let got = 0;
     void node.users.handle('GET', `/v1/jobs/${JOB}`, Buffer.alloc(0)).then((r) => (got = r.status));
+    await new Promise((resolve) => setImmediate(resolve));
     await node.time.run(1000);
     assert.equal(got, status, name);
   }
