--- a/src/leader/orders.ts
+++ b/src/leader/orders.ts
@@ -20,10 +20,9 @@
 } from '../units/index.js';
 import type { CommandOutcome } from '../peer/messages.js';
 import { callWorker, callWorkerThrough } from '../relay/worker-call.js';
-import type { Entry, JobSpec, Order } from '../wire/index.js';
+import type { Entry, Order } from '../wire/index.js';
 import type { Board } from './board.js';
 import type { TermDeps } from './deps.js';
-import { UrgentWork } from './urgent.js';
 
 const COMMAND_TIMEOUT = ms(2500);
 /** The same where only a report that may be a late copy speaks for the machine being there at all. */
@@ -41,17 +40,14 @@
 /** Repeats of messages come up to this many worker leases late. */
 const REPEAT_LEASES = 3;
 
-/** How late a leader gets to what is due. */
-export type LeaderLoad = 'normal' | 'busy' | 'overloaded';
-
 /** What workers are told: in the answers to their reports, and straight where it should not wait. */
 export class Orders {
   private readonly pushes = new Set<Machine>();
   private pushing = false;
   private underWay = 0;
   private closed = false;
-  /** How far this process is behind: starts are then left to the answers to reports, which cost less. */
-  load: LeaderLoad = 'normal';
+  /** This process is behind: starts are left to the answers to reports, each costs less than a command. */
+  isBusy = false;
 
   constructor(
     private readonly epoch: Epoch,
@@ -306,10 +302,6 @@
     this.observe(m, report);
   }
 
-  private startsDirectly(spec: JobSpec): boolean {
-    return this.load === 'normal' || (this.load === 'busy' && UrgentWork.is(spec));
-  }
-
   /** What is to be told to a machine at once, and the attempts whose start is part of it. */
   private direct(m: Machine): { orders: Order[]; started: string[] } {
     const orders: Order[] = [];
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -5,6 +5,7 @@
 import { LIVE_PREFIX, decodeJob } from '../ledger/codec.js';
 import { Job, Press, type Final } from '../ledger/job.js';
 import { Ledger } from '../ledger/ledger.js';
+import type { SteadyMs } from '../units/index.js';
 import {
   JobId,
   Revision,
@@ -15,7 +16,6 @@
   type DurationMs,
   type Epoch,
   type NodeId,
-  SteadyMs,
   type Timer,
 } from '../units/index.js';
 import type { RelayedReport } from '../peer/messages.js';
@@ -33,10 +33,6 @@
 const BEHIND = seconds(1);
 /** So much later, that it has no time for what can be left to the answers to reports. */
 const BUSY = ms(150);
-/** So much later, that this holds for urgent work too, and renting waits. */
-const OVERLOADED = ms(600);
-/** Renting is put off by no more ticks in a row than these. */
-const MAX_RENTING_PUT_OFF = 5;
 const HINTS_EVERY = seconds(4);
 const FLEET_EVERY = seconds(10);
 const STORE_TIMEOUT = ms(2000);
@@ -68,7 +64,6 @@
   private ruled = true;
   private redirecting = false;
   private listening: SteadyMs;
-  private rentingPutOff = 0;
   private readonly unreachableAt = new Map<NodeId, SteadyMs>();
   private ticked: SteadyMs;
   private closed = false;
@@ -174,8 +169,6 @@
       'rebuilt from the records',
     );
     void this.watchNotices();
-    // As if it were overloaded: all workers are about to report, and first of all they are to be answered.
-    this.ticked = SteadyMs(this.deps.clock.steady() - TICK - OVERLOADED - 1);
     this.tick();
   }
 
@@ -195,8 +188,7 @@
       if (ruling && (!this.ruled || behind)) this.listening = now;
       this.ruled = ruling;
       this.notePeers(now);
-      const lateness = since(this.ticked, now) - TICK;
-      this.orders.load = lateness > OVERLOADED ? 'overloaded' : lateness > BUSY ? 'busy' : 'normal';
+      this.orders.isBusy = since(this.ticked, now) > TICK + BUSY;
       this.expire();
       if (ruling) {
         const { workers, limits } = this.deps.settings;
@@ -209,7 +201,8 @@
         this.sendHints();
         this.tellFleet();
         this.dispatch.wake();
-        this.rent();
+        // In a turn of its own: right after a takeover it takes long, and so does the rest.
+        this.deps.clock.after(ms(1), () => this.rent());
         this.orders.askSilent(this.fleet.machines.values(), this.dispatch.silentAfter);
       }
       this.ledger.kick();
@@ -220,14 +213,8 @@
     this.ticker = this.deps.clock.after(TICK, () => this.tick());
   }
 
-  /** Planning what to rent takes long, and longest right after a takeover, when the rest must not wait. */
   private rent(): void {
-    if (this.orders.load === 'overloaded' && this.rentingPutOff < MAX_RENTING_PUT_OFF) {
-      this.rentingPutOff++;
-      return;
-    }
-    this.rentingPutOff = 0;
-    this.capacity.tick();
+    if (!this.closed && this.deps.authority() === this.epoch) this.capacity.tick();
   }
 
   private notePeers(now: SteadyMs): void {
