--- a/src/leader/orders.ts
+++ b/src/leader/orders.ts
@@ -319,14 +319,7 @@
         if (p.stopped) continue;
         p.stopped = true;
         orders.push({ verb: 'kill', entry: key, try: a.attempt, wind_down_s: p.evict });
-      } else if (
-        this.startsDirectly(job.spec) &&
-        !p.seen &&
-        !p.pushed &&
-        !p.sent &&
-        !p.inherited &&
-        !m.draining
-      ) {
+      } else if (!this.isBusy && !p.seen && !p.pushed && !p.sent && !p.inherited && !m.draining) {
         p.pushed = true;
         // Until it is answered the start may arrive at any time.
         const attempt = attemptKey(key, a.attempt);
