--- a/src/peer/channel.ts
+++ b/src/peer/channel.ts
@@ -142,14 +142,20 @@
   }
 }
 
-/** Answers the other nodes. A connection that carries anything unreadable is closed. */
+/**
+ * Answers the other nodes. A connection that carries anything unreadable, as from a node of another version,
+ * is closed, and said so once for each node: without a link the nodes work together through the store.
+ */
 export function servePeers(handle: PeerHandler, log: Logger): net.Server {
+  const unreadableFrom = new Set<string>();
   return net.createServer({ noDelay: true }, (socket) => {
+    const from = socket.remoteAddress ?? '';
     const framer = new Framer();
     pipeline(framer, socket).catch(() => socket.destroy());
     pipeline(socket, new Deframer(), async (frames: AsyncIterable<Buffer>) => {
       for await (const frame of frames) {
         const { id, message } = decodeRequest(frame);
+        unreadableFrom.delete(from);
         // Answered as they come, not in turn: a slow one must not hold up the rest.
         void handle(message)
           .then((response) => {
@@ -158,7 +164,10 @@
           .catch((e: unknown) => log.error({ err: e }, 'peer request failed'));
       }
     }).catch((e: Error) => {
-      log.debug({ from: socket.remoteAddress, why: e.message }, 'connection of a peer closed');
+      if (!socket.destroyed && !unreadableFrom.has(from)) {
+        unreadableFrom.add(from);
+        log.warn({ from, why: e.message }, 'unreadable message from a peer');
+      }
       socket.destroy();
     });
   });
--- /dev/null
+++ b/test/unit/peer.test.ts
@@ -0,0 +1,122 @@
+import assert from 'node:assert/strict';
+import net, { type AddressInfo } from 'node:net';
+import { test } from 'node:test';
+import { pino } from 'pino';
+import { PeerLink, servePeers } from '../../src/peer/channel.js';
+import {
+  decodeRequest,
+  decodeResponse,
+  encodeRequest,
+  encodeResponse,
+  type PeerRequest,
+  type PeerResponse,
+} from '../../src/peer/messages.js';
+import { Endpoint, NodeId, seconds } from '../../src/units/index.js';
+import { systemClock } from '../../src/units/system.js';
+import type { Beat, Order } from '../../src/wire/index.js';
+
+const status = { leader: 'node-1', epoch: 2 ** 40, storeReachable: true };
+const orders: Order[] = [
+  { verb: 'launch', entry: 'run-000001/0', try: 2 },
+  { verb: 'kill', entry: 'run-000001/1', try: 1, wind_down_s: 1.5 },
+  { verb: 'clear', entry: 'run-000001/2', try: 1 },
+];
+const report: Beat = {
+  box: 'vm-1',
+  addr: '10.1.0.1:9000',
+  build: 'small',
+  hall: 'a',
+  loaners: true,
+  shift: 1,
+  tally: 2 ** 33,
+  baton: 5,
+  recall_s: 12.5,
+  entries: [
+    { entry: 'run-000001/0', try: 1, status: 'exited', cause: 'halted', kept: true },
+    { entry: 'run-000001/1', try: 1, status: 'running', cause: null, kept: null },
+  ],
+};
+const unchanged = {
+  kind: 'unchanged' as const,
+  machine: 'vm-2',
+  session: 3,
+  sequence: 9,
+  token: 5,
+  unchangedSince: 77,
+};
+
+const requests: PeerRequest[] = [
+  { type: 'heartbeat', status },
+  { type: 'imageHints', machines: [{ machine: 'vm-1', images: [{ name: 'img-1', gb: 2.5 }] }] },
+  { type: 'jobNotice', job: 'run-000001' },
+  { type: 'submitJob', body: Buffer.from([1, 2, 3]) },
+  { type: 'readJob', job: 'run-000001' },
+  { type: 'cancelJob', job: 'run-000001' },
+  {
+    type: 'reports',
+    node: NodeId('node-2'),
+    epoch: 5,
+    reports: [{ kind: 'full', report }, unchanged],
+  },
+  { type: 'command', address: '10.1.0.1:9000', token: 5, session: 1, timeoutMs: 2500, orders },
+];
+const responses: PeerResponse[] = [
+  { type: 'status', status },
+  { type: 'acknowledged', ok: true },
+  { type: 'userResponse', status: 429, retryAfter: 3, body: Buffer.alloc(0) },
+  {
+    type: 'reportResponses',
+    epoch: 5,
+    responses: [{ outcome: 'accepted', baseline: 7, orders }],
+  },
+  { type: 'commandResult', outcome: 'answered', why: '', report },
+  { type: 'commandResult', outcome: 'unknown', why: 'no answer in time', report: null },
+];
+
+/** Without the classes that decoded records are made of. */
+const plain = (value: unknown): unknown => JSON.parse(JSON.stringify(value));
+
+void test('messages between nodes arrive as they were sent, and others are refused', () => {
+  for (const request of requests) {
+    const bytes = encodeRequest(7, request);
+    assert.deepEqual(plain(decodeRequest(bytes)), plain({ id: 7, message: request }));
+    assert.throws(() => decodeResponse(bytes), request.type);
+    assert.throws(() => decodeRequest(bytes.subarray(0, -1)), request.type);
+  }
+  for (const response of responses) {
+    const bytes = encodeResponse(7, response);
+    assert.deepEqual(plain(decodeResponse(bytes)), plain({ id: 7, message: response }));
+    assert.throws(() => decodeRequest(bytes), response.type);
+  }
+  assert.throws(() => decodeRequest(Buffer.from('another version')));
+});
+
+const listening = (server: net.Server): Promise<Endpoint> =>
+  new Promise((resolve) => {
+    server.listen(0, '127.0.0.1', () => {
+      resolve(Endpoint(`127.0.0.1:${(server.address() as AddressInfo).port}`));
+    });
+  });
+
+void test('a peer that sends what can not be read loses its connection, and is told of once', async () => {
+  const lines: string[] = [];
+  const log = pino({ level: 'warn' }, { write: (line) => lines.push(line) });
+  const server = servePeers(() => Promise.resolve({ type: 'acknowledged', ok: true }), log);
+  const at = await listening(server);
+  const port = Number(at.split(':')[1]);
+  for (let i = 0; i < 2; i++) {
+    const stranger = net.connect(port, '127.0.0.1');
+    stranger.write(Buffer.from([0, 0, 0, 3, 9, 9, 9]));
+    stranger.on('error', () => undefined);
+    await new Promise((resolve) => stranger.on('close', resolve));
+  }
+  assert.equal(lines.length, 1);
+  const link = new PeerLink(at, systemClock, log);
+  try {
+    const response = await link.ask({ type: 'readJob', job: 'run-000001' }, seconds(60));
+    assert.deepEqual(plain(response), { type: 'acknowledged', ok: true });
+  } finally {
+    link.close();
+    server.close();
+  }
+});
