--- a/src/peer/channel.ts
+++ b/src/peer/channel.ts
@@ -17,6 +17,7 @@
   decodeResponse,
   encodeRequest,
   encodeResponse,
+  type Envelope,
   type PeerRequest,
   type PeerResponse,
 } from './messages.js';
@@ -148,14 +149,24 @@
  */
 export function servePeers(handle: PeerHandler, log: Logger): net.Server {
   const unreadableFrom = new Set<string>();
+  const decode = (frame: Buffer, from: string): Envelope<PeerRequest> => {
+    try {
+      const envelope = decodeRequest(frame);
+      unreadableFrom.delete(from);
+      return envelope;
+    } catch (e) {
+      if (!unreadableFrom.has(from)) log.warn({ from, err: e }, 'unreadable message from a peer');
+      unreadableFrom.add(from);
+      throw e;
+    }
+  };
   return net.createServer({ noDelay: true }, (socket) => {
     const from = socket.remoteAddress ?? '';
     const framer = new Framer();
     pipeline(framer, socket).catch(() => socket.destroy());
     pipeline(socket, new Deframer(), async (frames: AsyncIterable<Buffer>) => {
       for await (const frame of frames) {
-        const { id, message } = decodeRequest(frame);
-        unreadableFrom.delete(from);
+        const { id, message } = decode(frame, from);
         // Answered as they come, not in turn: a slow one must not hold up the rest.
         void handle(message)
           .then((response) => {
@@ -164,10 +175,7 @@
           .catch((e: unknown) => log.error({ err: e }, 'peer request failed'));
       }
     }).catch((e: Error) => {
-      if (!socket.destroyed && !unreadableFrom.has(from)) {
-        unreadableFrom.add(from);
-        log.warn({ from, why: e.message }, 'unreadable message from a peer');
-      }
+      log.debug({ from, why: e.message }, 'connection of a peer ended');
       socket.destroy();
     });
   });
