--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -5,6 +5,7 @@
 import { LIVE_PREFIX, decodeJob } from '../ledger/codec.js';
 import { Job, Press, type Final } from '../ledger/job.js';
 import { Ledger } from '../ledger/ledger.js';
+import type { SteadyMs } from '../units/index.js';
 import {
   JobId,
   Revision,
@@ -14,17 +15,18 @@
   sleep,
   type DurationMs,
   type Epoch,
-  type SteadyMs,
+  type NodeId,
   type Timer,
 } from '../units/index.js';
+import type { RelayedReport } from '../peer/messages.js';
 import type { Beat, BeatReply, JobSpec } from '../wire/index.js';
 import { Board } from './board.js';
 import type { TermDeps } from './deps.js';
 import { Dispatch } from './dispatch.js';
-import { HintTeller } from './hints.js';
+import { ImageHintSender } from './image-hints.js';
 import { Orders } from './orders.js';
 import { Reports } from './reports.js';
-import { spreads } from './spread.js';
+import { redirectsWorkers } from './worker-redirects.js';
 
 const TICK = ms(500);
 /** So much later than it was due, a tick shows that this process does not keep up. */
@@ -56,12 +58,13 @@
   private readonly orders: Orders;
   private readonly reports: Reports;
   private readonly dispatch: Dispatch;
-  private readonly teller = new HintTeller();
+  private readonly hintSender = new ImageHintSender();
   private hintsSent: SteadyMs;
   private fleetTold: SteadyMs;
   private ruled = true;
-  private spreading: boolean;
+  private redirecting = false;
   private listening: SteadyMs;
+  private readonly unreachableAt = new Map<NodeId, SteadyMs>();
   private ticked: SteadyMs;
   private closed = false;
   /** Resolves once the term is ready or closed, or has taken too long to become ready. */
@@ -79,7 +82,6 @@
     this.ticked = began;
     this.hintsSent = began;
     this.fleetTold = began;
-    this.spreading = deps.spread();
     this.rebuilt = new Promise((resolve) => (this.stopWaiting = resolve));
     clock.after(MOST_REBUILD_WAIT, () => this.stopWaiting());
     this.ledger = new Ledger(deps.store, epoch, settings.state.txnOps, clock, random, log, {
@@ -95,7 +97,7 @@
       began,
       lease: settings.workers.lease,
       cacheOf: (build) => catalog.flavor(build)?.cache_gb,
-      hinted: (id) => deps.hints.of(id),
+      hinted: (id) => deps.imageHints.of(id),
       sizeOf: (id) => {
         const job = this.ledger.jobs.get(id);
         return job && sizeOfSpec(job.spec);
@@ -110,6 +112,7 @@
         fleet: this.fleet,
         silentAfter: this.dispatch.silentAfter,
         listeningSince: () => this.listening,
+        unreachableAt: this.unreachableAt,
         queue: () => this.dispatch.queue(),
         spec: (id) => this.ledger.jobs.get(id)?.spec,
         expected: () => this.dispatch.expected(),
@@ -169,9 +172,9 @@
     this.tick();
   }
 
-  /** Whether workers are to report through the other nodes. */
-  get spreads(): boolean {
-    return this.spreading;
+  /** Whether workers that report straight to this node are sent to the others. */
+  get redirectsWorkers(): boolean {
+    return this.redirecting;
   }
 
   private tick(): void {
@@ -184,7 +187,8 @@
       const behind = since(this.ticked, now) > TICK + BEHIND;
       if (ruling && (!this.ruled || behind)) this.listening = now;
       this.ruled = ruling;
-      this.orders.busy = since(this.ticked, now) > TICK + BUSY;
+      this.notePeers(now);
+      this.orders.isBusy = since(this.ticked, now) > TICK + BUSY;
       this.expire();
       if (ruling) {
         const { workers, limits } = this.deps.settings;
@@ -193,11 +197,12 @@
           report: workers.report,
           cpu: limits.cpu,
         };
-        this.spreading = spreads(this.spreading, load);
+        this.redirecting = redirectsWorkers(this.redirecting, load);
         this.sendHints();
         this.tellFleet();
         this.dispatch.wake();
-        this.capacity.tick();
+        // In a turn of its own: right after a takeover it takes long, and so does the rest.
+        this.deps.clock.after(ms(1), () => this.rent());
         this.orders.askSilent(this.fleet.machines.values(), this.dispatch.silentAfter);
       }
       this.ledger.kick();
@@ -208,6 +213,16 @@
     this.ticker = this.deps.clock.after(TICK, () => this.tick());
   }
 
+  private rent(): void {
+    if (!this.closed && this.deps.authority() === this.epoch) this.capacity.tick();
+  }
+
+  private notePeers(now: SteadyMs): void {
+    for (const [node, peer] of this.deps.peers) {
+      if (!peer.responsive) this.unreachableAt.set(node, now);
+    }
+  }
+
   /** Now and then, for those on call: what there is, what is in use, and what waits. */
   private tellFleet(): void {
     const now = this.deps.clock.steady();
@@ -240,8 +255,8 @@
     if (since(this.hintsSent, now) < HINTS_EVERY) return;
     this.hintsSent = now;
     const up = [...this.fleet.machines.values()].filter((m) => m.up);
-    const known = up.map((m) => ({ id: m.id, images: m.images.list() }));
-    for (const part of this.teller.parts(known, now)) this.deps.tellHints(part);
+    const known = up.map((m) => ({ machine: m.id, images: m.images.list() }));
+    for (const part of this.hintSender.parts(known, now)) this.deps.tellImages(part);
   }
 
   // --- jobs -------------------------------------------------------------------------------------
@@ -371,8 +386,20 @@
 
   // --- machines ---------------------------------------------------------------------------------
 
-  beat(b: Beat): BeatReply {
-    return this.reports.beat(b);
+  takeReport(report: Beat): BeatReply {
+    return this.reports.take(report);
+  }
+
+  takeRelayedReport(report: Beat, through: NodeId): { reply: BeatReply; baseline: number } {
+    return this.reports.takeRelayed(report, through);
+  }
+
+  /** Undefined if the report must come in full. */
+  takeUnchangedReport(
+    report: RelayedReport & { readonly kind: 'unchanged' },
+    through: NodeId,
+  ): BeatReply | undefined {
+    return this.reports.takeUnchanged(report, through);
   }
 
   private expire(): void {
