--- a/test/unit/peer.test.ts
+++ b/test/unit/peer.test.ts
@@ -11,9 +11,10 @@
   type PeerRequest,
   type PeerResponse,
 } from '../../src/peer/messages.js';
-import { Endpoint, NodeId, seconds } from '../../src/units/index.js';
+import { Endpoint, NodeId, ms, seconds } from '../../src/units/index.js';
 import { systemClock } from '../../src/units/system.js';
 import type { Beat, Order } from '../../src/wire/index.js';
+import { ProcessClock, VirtualTime } from '../standin/clock.js';
 
 const status = { leader: 'node-1', epoch: 2 ** 40, storeReachable: true };
 const orders: Order[] = [
@@ -120,3 +121,36 @@
     server.close();
   }
 });
+
+void test('a peer that answers late is not gone; one that answers nothing for long is', async () => {
+  const time = new VirtualTime();
+  const clock = new ProcessClock(time, 0, 0);
+  const log = pino({ level: 'silent' });
+  const answers: (() => void)[] = [];
+  let arrived = (): void => undefined;
+  const arrival = new Promise<void>((resolve) => (arrived = resolve));
+  const server = servePeers(async () => {
+    const answered = new Promise<void>((resolve) => answers.push(resolve));
+    arrived();
+    await answered;
+    return { type: 'acknowledged', ok: true };
+  }, log);
+  const link = new PeerLink(await listening(server), clock, log);
+  try {
+    const first = link.ask({ type: 'readJob', job: 'run-000001' }, seconds(60));
+    await arrival;
+    assert.ok(link.responsive, 'it has just been asked');
+    const heartbeat = link.ask({ type: 'heartbeat', status }, ms(800));
+    await time.run(time.now + 900);
+    assert.equal(await heartbeat, undefined);
+    assert.ok(link.responsive, 'it is late');
+    await time.run(time.now + 2000);
+    assert.ok(!link.responsive, 'it has answered nothing for long');
+    for (const answer of answers) answer();
+    assert.deepEqual(plain(await first), { type: 'acknowledged', ok: true });
+    assert.ok(link.responsive, 'it answers again');
+  } finally {
+    link.close();
+    server.close();
+  }
+});
