The orders that answer a batch of reports fit a frame

Found by reading: a batch of a hundred reports whose jobs were all cancelled could be answered by more orders than a frame holds; the follower would have closed the link, and the same would have come again. The test fails without the bound.

--- a/src/api/worker-reports.ts
+++ b/src/api/worker-reports.ts
@@ -28,6 +28,8 @@
  * take, by code that is not compiled yet, and must get to the renewal of its lease meanwhile.
  */
 const REPORTS_PER_TURN = 20;
+/** What goes beyond these orders waits for another batch, so that the response fits a frame. */
+const MAX_ORDERS_PER_BATCH = 2000;
 /** A worker that was redirected and is back this soon can't reach the node that it was sent to. */
 const REDIRECT_BOUNCE = seconds(9);
 /** For so long such a worker is served here. */
@@ -115,12 +117,16 @@
     const term = this.leadership.authorisedTerm();
     if (!term || !(await this.isRebuilt(term))) return allRefused(reports.length);
     const responses: ReportResponse[] = [];
+    let orders = 0;
     for (const relayed of reports) {
       if (responses.length > 0 && responses.length % REPORTS_PER_TURN === 0) {
         await sleep(this.clock, ms(0));
         if (this.leadership.authorisedTerm() !== term) return allRefused(reports.length);
       }
-      responses.push(this.takeRelayed(term, sender, epoch, relayed));
+      const full = orders >= MAX_ORDERS_PER_BATCH;
+      const response = full ? REFUSED : this.takeRelayed(term, sender, epoch, relayed);
+      orders += response.orders.length;
+      responses.push(response);
     }
     // A 200 may follow from this response only if authority stands now that all of them are taken.
     if (this.leadership.authorisedTerm() !== term) return allRefused(reports.length);
--- a/src/peer/framing.ts
+++ b/src/peer/framing.ts
@@ -1,8 +1,8 @@
 /** Length-prefixed frames on the connections between controllers. */
 import { Transform, type TransformCallback } from 'node:stream';
 
-/** A body of 64 KiB and what goes around it; anything longer was not sent by a controller. */
-const MAX_FRAME_BYTES = 80 * 1024;
+/** More than the longest message that a controller sends: a batch of reports' answers, full of orders. */
+export const MAX_FRAME_BYTES = 192 * 1024;
 const LENGTH_BYTES = 4;
 
 /** Puts a length before each chunk written. Chunks written in one turn leave as one packet. */
--- a/test/unit/worker-reports.test.ts
+++ b/test/unit/worker-reports.test.ts
@@ -1,8 +1,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { redirectsWorkers } from '../../src/leader/worker-redirects.js';
+import { MAX_FRAME_BYTES } from '../../src/peer/framing.js';
+import { encodeResponse } from '../../src/peer/messages.js';
 import { NodeId, seconds } from '../../src/units/index.js';
-import { encode, type Beat } from '../../src/wire/index.js';
+import { encode, type Beat, type Order } from '../../src/wire/index.js';
 import { EPOCH, leadingNode } from '../support/api.js';
 
 const report = (box: string, baton = 0): Beat => ({
@@ -90,3 +92,30 @@
   assert.ok(relayed.type === 'reportResponses');
   assert.equal(relayed.responses[0]?.outcome, 'accepted', 'carried by another node');
 });
+
+void test('the orders that answer a batch fit a frame; the reports beyond are left to another', async () => {
+  const { workers, term, time } = leadingNode({ kind: 'absent' });
+  const entry = `run-${'9'.repeat(20)}/99999`;
+  const orders = Array.from({ length: 300 }, (_, i): Order => {
+    return { verb: 'kill', entry, try: 2 ** 40 + i, wind_down_s: 10 };
+  });
+  let taken = 0;
+  Object.assign(term, {
+    takeRelayedReport: () => {
+      taken++;
+      return { reply: { baton: EPOCH, orders }, baseline: 1 };
+    },
+  });
+  const batch = Array.from({ length: 60 }, (_, i) => {
+    return { kind: 'full' as const, report: report(`vm-${i}`) };
+  });
+  const answered = workers.handleRelayed(NodeId('node-1'), EPOCH, batch);
+  await new Promise((resolve) => setImmediate(resolve));
+  await time.run(1000);
+  const response = await answered;
+  assert.ok(response.type === 'reportResponses');
+  assert.equal(response.responses.length, batch.length);
+  const accepted = response.responses.filter((r) => r.outcome === 'accepted').length;
+  assert.ok(accepted > 0 && accepted === taken, 'what is not answered is not taken');
+  assert.ok(encodeResponse(1, response).length < MAX_FRAME_BYTES);
+});
