Batches of reports are sized by how long the leader takes for them

Cause: without a bound on their number (since batches are taken in turns) a new leader on 5% of a core needed longer for a batch than its workers wait: all of it was lost, and all its workers went from node to node.

--- a/src/relay/report-relay.ts
+++ b/src/relay/report-relay.ts
@@ -4,7 +4,15 @@
  */
 import type { Peer } from '../peer/channel.js';
 import type { RelayedReport, ReportResponse } from '../peer/messages.js';
-import { later, ms, since, type Clock, type NodeId, type SteadyMs } from '../units/index.js';
+import {
+  later,
+  ms,
+  since,
+  type Clock,
+  type DurationMs,
+  type NodeId,
+  type SteadyMs,
+} from '../units/index.js';
 import type { Beat, BeatReply, Entry } from '../wire/index.js';
 
 /** What comes within this time goes in one batch; the first after a pause goes at once. */
@@ -19,6 +27,15 @@
 const LEADER_POLL = ms(100);
 /** Reports and their orders together must fit a frame of the channel, which takes a little over 64 KiB. */
 const MAX_BATCH_BYTES = 40 * 1024;
+/**
+ * How many reports go in one batch, by how long the leader took for the last: one that takes longer than its
+ * workers wait is lost as a whole, and all of them look for another node.
+ */
+const FIRST_BATCH_REPORTS = 40;
+const LEAST_BATCH_REPORTS = 10;
+const MOST_BATCH_REPORTS = 160;
+const SLOW_RESPONSE = ms(1000);
+const FAST_RESPONSE = ms(300);
 /** Nobody waits any more for the answer to a report that came longer ago: workers give up after 4 s. */
 const ABANDONED_AFTER = ms(3500);
 /** Baselines of machines that went elsewhere are dropped now and then. */
@@ -50,6 +67,7 @@
   private epoch = 0;
   private scheduled = false;
   private underWay = false;
+  private batchReports = FIRST_BATCH_REPORTS;
   private sentAt: SteadyMs | undefined;
 
   constructor(
@@ -116,7 +134,8 @@
       if (now > p.abandonedAt) {
         p.settle(undefined);
       } else {
-        if (batch.length > 0 && bytes + p.bytes > MAX_BATCH_BYTES) break;
+        const full = batch.length >= this.batchReports || bytes + p.bytes > MAX_BATCH_BYTES;
+        if (batch.length > 0 && full) break;
         bytes += p.bytes;
         batch.push(p);
       }
@@ -129,7 +148,9 @@
   private async sendBatch(peer: Peer, batch: readonly PendingReport[]): Promise<void> {
     const { node, epoch } = this;
     const reports = batch.map((p) => this.relayed(p));
+    const asked = this.clock.steady();
     const response = await peer.ask({ type: 'reports', node, epoch, reports }, BATCH_TIMEOUT);
+    this.batchReports = nextBatchReports(this.batchReports, since(asked, this.clock.steady()));
     if (response?.type !== 'reportResponses' || response.responses.length !== batch.length) {
       for (const p of batch) p.settle(undefined);
       return;
@@ -189,6 +210,13 @@
   }
 }
 
+/** Halved where the leader is slow, and raised by half where it is fast. */
+export function nextBatchReports(now: number, took: DurationMs): number {
+  if (took > SLOW_RESPONSE) return Math.max(LEAST_BATCH_REPORTS, Math.floor(now / 2));
+  if (took < FAST_RESPONSE) return Math.min(MOST_BATCH_REPORTS, Math.ceil(now * 1.5));
+  return now;
+}
+
 /** Whether two reports of a machine differ in nothing but their sequence numbers and tokens. */
 export function showsTheSame(a: Beat, b: Beat): boolean {
   return (
--- a/test/unit/report-relay.test.ts
+++ b/test/unit/report-relay.test.ts
@@ -20,7 +20,7 @@
   type RelayedReport,
   type ReportResponse,
 } from '../../src/peer/messages.js';
-import { ReportRelay, showsTheSame } from '../../src/relay/report-relay.js';
+import { ReportRelay, nextBatchReports, showsTheSame } from '../../src/relay/report-relay.js';
 import { Epoch, MachineId, NodeId, ms } from '../../src/units/index.js';
 import type { Beat, BeatReply, Entry } from '../../src/wire/index.js';
 import { ProcessClock, VirtualTime } from '../standin/clock.js';
@@ -236,6 +236,19 @@
   assert.ok(unchanged > 100, `${unchanged} reports came by reference`);
 });
 
+void test('batches shrink where the leader is slow and grow where it is fast, within bounds', () => {
+  const cases: [now: number, tookMs: number, next: number][] = [
+    [40, 1500, 20],
+    [12, 2500, 10],
+    [10, 2500, 10],
+    [40, 600, 40],
+    [40, 100, 60],
+    [150, 100, 160],
+    [160, 100, 160],
+  ];
+  for (const [now, took, next] of cases) assert.equal(nextBatchReports(now, ms(took)), next);
+});
+
 void test('what counts as unchanged', () => {
   const entries = [running('run-000001/0')];
   const cases: [name: string, change: Partial<Beat>, same: boolean][] = [
