--- a/test/sim/meetings.test.ts
+++ b/test/sim/meetings.test.ts
@@ -356,7 +356,7 @@
 for (const m of meetings) {
   void test(m.name, async () => {
     for (const seed of m.seeds) {
-      // With the last seed, workers report through the other nodes.
+      // With the last seed, the leader sends the workers that report to it to the other nodes.
       const small = seed === m.seeds.at(-1) ? { cpu: TINY_CPU } : {};
       const world = new World({ seed: 5000 + seed, cpusMax: m.cpusMax ?? 24, ...small });
       world.cloud.neverUp = 0;
