--- a/src/api/user-requests.ts
+++ b/src/api/user-requests.ts
@@ -3,8 +3,7 @@
  * otherwise through the leader, otherwise from the store as far as that goes without a leader.
  */
 import type { Logger } from 'pino';
-import type { Settings } from '../config/settings.js';
-import type { Catalog } from '../cloud/catalog.js';
+import type { Admission } from '../ledger/admission.js';
 import type { Held, StoreFront } from '../ledger/front.js';
 import { statusOf, type Final, type Job } from '../ledger/job.js';
 import type { Answer, Submitted, Term } from '../leader/term.js';
@@ -46,10 +45,9 @@
 
 export class UserRequests {
   constructor(
-    private readonly settings: Settings,
+    private readonly admission: Admission,
     private readonly leadership: Leadership,
     private readonly front: StoreFront,
-    private readonly catalog: Catalog,
     private readonly clock: Clock,
     private readonly log: Logger,
     private readonly isIsolated: () => boolean,
@@ -124,7 +122,7 @@
 
   private async submit(body: Buffer, relaying: Relaying): Promise<Reply> {
     const parsed = parseSubmission(body);
-    const verdict = parsed.ok ? this.catalog.judge(parsed.value, this.settings.teams) : undefined;
+    const verdict = parsed.ok ? this.admission.judge(parsed.value) : undefined;
     if (!parsed.ok)
       return this.refuse(body, { status: 400, body: { error: parsed.why } }, relaying);
     if (typeof verdict === 'object') {
--- a/src/capacity/keeper.ts
+++ b/src/capacity/keeper.ts
@@ -6,7 +6,8 @@
 import type { Fleet } from '../fleet/fleet.js';
 import type { Machine } from '../fleet/machine.js';
 import { fits, less, sizeOfFlavor, sizeOfSpec, type Size } from '../fleet/size.js';
-import { dueBy, type Place } from '../ledger/queue.js';
+import { isGang } from '../ledger/job.js';
+import { dueBy, isUrgent, type Place } from '../ledger/queue.js';
 import { Backoff } from '../store/budget.js';
 import type { SteadyMs } from '../units/index.js';
 import {
@@ -22,7 +23,7 @@
   type NodeId,
   type Random,
 } from '../units/index.js';
-import type { Box, Hire, JobSpec, Urgency } from '../wire/index.js';
+import type { Box, Hire, JobSpec } from '../wire/index.js';
 import { lostMachines } from './lost-machines.js';
 import {
   NEVER,
@@ -65,10 +66,10 @@
   hall: spec.hall,
   spot: spec.loaners,
   run: ms(spec.expected_s * 1000),
+  isGang: isGang(spec),
+  together: spec.together,
 });
 
-const isUrgent = (u: Urgency): boolean => u === 'prod' || u === 'high';
-
 interface Refusal {
   until: SteadyMs;
   times: number;
@@ -338,8 +339,7 @@
 
   private idle(now: SteadyMs): Machine[] {
     const out: Machine[] = [];
-    let spare = this.freeCpus();
-    for (const { spec, count } of this.view.expected()) spare -= spec.vcpus * count;
+    const spare = this.spareCpus();
     const dearFirst = [...this.machines.values()].sort(
       (a, b) => Number(a.place.spot) - Number(b.place.spot),
     );
@@ -355,8 +355,9 @@
       // Giving it back must not take the room that stands by for urgent work.
       const cpus = this.catalog.flavor(m.place.build)?.vcpus ?? 0;
       if (this.isSmallest(cpus)) {
-        if (spare < cpus) continue;
-        spare -= cpus;
+        if (spare.any < cpus || (!m.place.spot && spare.ordinary < cpus)) continue;
+        spare.any -= cpus;
+        if (!m.place.spot) spare.ordinary -= cpus;
       }
       out.push(m);
     }
@@ -367,16 +368,25 @@
     return this.catalog.all().every((f) => f.vcpus >= cpus);
   }
 
-  /** What is free on machines of the smallest type, which is where urgent work is expected. */
-  private freeCpus(): number {
-    let free = 0;
+  /**
+   * What is free on machines of the smallest type, which is where work is expected, beyond what that would
+   * take; and the same of ordinary machines, for work that may not run on spot machines.
+   */
+  private spareCpus(): { any: number; ordinary: number } {
+    const spare = { any: 0, ordinary: 0 };
     for (const m of this.machines.values()) {
       const cpus = this.catalog.flavor(m.place.build)?.vcpus ?? 0;
       if (!m.up || m.draining || !this.isSmallest(cpus)) continue;
       const load = this.view.fleet.load(m);
-      free += cpus - (load.unknown ? cpus : load.used.cpus);
+      const free = cpus - (load.unknown ? cpus : load.used.cpus);
+      spare.any += free;
+      if (!m.place.spot) spare.ordinary += free;
+    }
+    for (const { spec, count } of this.view.expected()) {
+      spare.any -= spec.vcpus * count;
+      if (!spec.loaners) spare.ordinary -= spec.vcpus * count;
     }
-    return free;
+    return spare;
   }
 
   private async remove(machines: readonly Machine[]): Promise<boolean> {
--- a/src/capacity/planner.ts
+++ b/src/capacity/planner.ts
@@ -23,6 +23,9 @@
   readonly builds: readonly string[] | null;
   readonly hall: string | null;
   readonly spot: boolean;
+  /** All of it runs at once or none does; `together`: in one zone. */
+  readonly isGang: boolean;
+  readonly together: boolean;
   /** How long a task is expected to run. */
   readonly run: DurationMs;
   /** A wait up to this long is not worth a machine. */
@@ -133,17 +136,19 @@
   const queues = new Queues(turnover);
   const fresh: Bin[] = [];
   for (const d of demands) {
+    const hall = d.isGang && d.together ? zoneFor(d, bins, flavors, refused) : d.hall;
+    const demand = { ...d, hall };
     let left = d.count;
     for (const bin of bins) {
       if (left === 0) break;
-      if (allows(d, bin.offer)) left -= pack(bin, d, left);
+      if (allows(demand, bin.offer)) left -= pack(bin, d, left);
     }
     if (left === 0) continue;
-    const [soon = 0, pressing = 0] = queues.join(d, left, [d.patience, d.slack]);
+    const [soon = 0, pressing = 0] = queues.join(demand, left, [d.patience, d.slack]);
     left = Math.max(soon, pressing);
     let dear = pressing;
     while (left > 0 && fresh.length < most) {
-      const pick = cheapest(d, left, dear > 0, flavors, refused);
+      const pick = cheapest(demand, left, dear > 0, flavors, refused);
       if (!pick) break;
       const { cpus, gpus, ramGb } = sizeOfFlavor(pick.flavor);
       const bin: Bin = { offer: pick.offer, cpus, gpus, ramGb };
@@ -162,6 +167,44 @@
   return [...counts.values()];
 }
 
+/** Where a gang that must be in one zone goes: where all of it fits, else where machines can be had for it. */
+function zoneFor(
+  d: Demand,
+  bins: readonly Bin[],
+  flavors: readonly Flavor[],
+  refused: ReadonlySet<string>,
+): string | null {
+  const zones = zonesByRoom(d, bins, flavors);
+  const first = zones[0];
+  if (!first) return d.hall;
+  if (first.tasks >= d.count) return first.hall;
+  const canGrow = zones.find(
+    ({ hall }) => cheapest({ ...d, hall }, d.count, true, flavors, refused) !== undefined,
+  );
+  return (canGrow ?? first).hall;
+}
+
+/** The zones that a gang might be in as a whole and how many of its tasks fit there, most first. */
+function zonesByRoom(
+  d: Demand,
+  bins: readonly Bin[],
+  flavors: readonly Flavor[],
+): { hall: string; tasks: number }[] {
+  const room = new Map<string, number>();
+  for (const flavor of flavors) {
+    for (const hall of flavor.halls) {
+      const offer = { build: flavor.name, hall, spot: false };
+      if (fits(d.size, sizeOfFlavor(flavor)) && allows(d, offer)) room.set(hall, 0);
+    }
+  }
+  for (const bin of bins) {
+    if (!allows(d, bin.offer)) continue;
+    const { hall } = bin.offer;
+    room.set(hall, (room.get(hall) ?? 0) + Math.max(0, perMachine(bin, d.size)));
+  }
+  return [...room].sort((a, b) => b[1] - a[1]).map(([hall, tasks]) => ({ hall, tasks }));
+}
+
 function cheapest(
   d: Demand,
   left: number,
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -8,6 +8,11 @@
   .regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'must be an IPv4 address with a port');
 const positive = z.number().finite().positive();
 const limit = z.number().finite().nonnegative();
+/** The end of a job is a put and a delete in one transaction. */
+const changes = z.number().int().min(2);
+
+/** How quickly the tasks of a gang notice that one of them is gone, where the platform does not say. */
+const DEFAULT_GANG_PEER_S = 4;
 
 const File = z.object({
   node: z.string().min(1),
@@ -40,12 +45,26 @@
       )
       .nullish()
       .transform((v) => v ?? []),
-    workers: z.object({ report_s: positive, lease_s: positive, cancel_s: positive }),
+    workers: z.object({
+      report_s: positive,
+      lease_s: positive,
+      gang_wait_s: positive.nullish(),
+      gang_peer_s: positive.nullish(),
+      cancel_s: positive,
+    }),
     state: z.object({
       rps: positive,
       write_rps: positive,
       value_kb: positive,
-      txn_ops: z.number().int().min(2),
+      txn_ops: changes,
+      next: z
+        .object({
+          rps: positive.nullish(),
+          write_rps: positive.nullish(),
+          value_kb: positive.nullish(),
+          txn_ops: changes.nullish(),
+        })
+        .nullish(),
     }),
     cloud: z.object({ rps: positive, list_lag_s: limit }),
     limits: z.object({
@@ -73,6 +92,14 @@
   readonly times: number;
 }
 
+/** What the state service takes. */
+export interface StateLimits {
+  readonly rps: number;
+  readonly writeRps: number;
+  readonly valueBytes: number;
+  readonly txnOps: number;
+}
+
 export interface Settings {
   readonly node: NodeId;
   readonly area: string;
@@ -88,13 +115,13 @@
   readonly workers: {
     readonly report: DurationMs;
     readonly lease: DurationMs;
+    /** Within this time the tasks of a gang notice that one of them is gone. */
+    readonly gangPeer: DurationMs;
     readonly cancel: DurationMs;
   };
-  readonly state: {
-    readonly rps: number;
-    readonly writeRps: number;
-    readonly valueBytes: number;
-    readonly txnOps: number;
+  readonly state: StateLimits & {
+    /** Its limits from a moment on that nobody announces; undefined if they stay. */
+    readonly next: StateLimits | undefined;
   };
   readonly cloud: { readonly rps: number; readonly listLag: DurationMs };
   readonly limits: {
@@ -105,6 +132,29 @@
   readonly timeBound: DurationMs;
 }
 
+type StateFile = z.infer<typeof File>['params']['state'];
+
+const stateLimits = (file: Omit<StateFile, 'next'>): StateLimits => ({
+  rps: file.rps,
+  writeRps: file.write_rps,
+  valueBytes: Math.floor(file.value_kb * 1024),
+  txnOps: file.txn_ops,
+});
+
+/** The limits to come; what they leave out stays as it is. */
+function nextLimits({ next }: StateFile, now: StateLimits): StateLimits | undefined {
+  if (!next) return undefined;
+  return {
+    rps: next.rps ?? now.rps,
+    writeRps: next.write_rps ?? now.writeRps,
+    valueBytes:
+      next.value_kb === null || next.value_kb === undefined
+        ? now.valueBytes
+        : Math.floor(next.value_kb * 1024),
+    txnOps: next.txn_ops ?? now.txnOps,
+  };
+}
+
 /** What is wrong with a settings file, in one line that names the field. */
 export class SettingsError extends Error {}
 
@@ -137,6 +187,7 @@
     }
   }
   const w = f.params.workers;
+  const state = stateLimits(f.params.state);
   if (w.cancel_s <= w.lease_s) {
     throw new SettingsError('settings: params.workers.cancel_s: must exceed lease_s');
   }
@@ -169,14 +220,10 @@
     workers: {
       report: seconds(w.report_s),
       lease: seconds(w.lease_s),
+      gangPeer: seconds(w.gang_peer_s ?? DEFAULT_GANG_PEER_S),
       cancel: seconds(w.cancel_s),
     },
-    state: {
-      rps: f.params.state.rps,
-      writeRps: f.params.state.write_rps,
-      valueBytes: Math.floor(f.params.state.value_kb * 1024),
-      txnOps: f.params.state.txn_ops,
-    },
+    state: { ...state, next: nextLimits(f.params.state, state) },
     cloud: { rps: f.params.cloud.rps, listLag: seconds(f.params.cloud.list_lag_s) },
     limits: {
       cpu: f.params.limits.cpu,
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -11,6 +11,9 @@
 import type { Report } from './machine.js';
 import type { Size } from './size.js';
 
+/** Names of this form take a few bytes in a record. */
+const NUMBERED_NAME = /\d$/;
+
 /** How long a machine that is gone is remembered. */
 const REMEMBER_GONE = 600_000 as DurationMs;
 
@@ -32,8 +35,15 @@
   /** Attempts on machines that no placement accounts for: they must be gone before the task starts again. */
   private readonly strays = new Map<TaskKey, Set<MachineId>>();
 
+  /** The length of the longest machine name that is not a number behind what names begin with; 0: none. */
+  private longestOther = 0;
+
   constructor(private readonly deps: FleetDeps) {}
 
+  get longestOtherName(): number {
+    return this.longestOther;
+  }
+
   isGone(id: MachineId): boolean {
     return this.gone.has(id);
   }
@@ -56,6 +66,7 @@
     if (!m) {
       m = new Machine(id, place, 0, leaseEnd(this.deps.began, this.deps.lease));
       this.machines.set(id, m);
+      if (!NUMBERED_NAME.test(id)) this.longestOther = Math.max(this.longestOther, id.length);
     }
     return m;
   }
--- a/src/leader/board.ts
+++ b/src/leader/board.ts
@@ -17,6 +17,13 @@
 /** Work younger than this may be lost to make room for an urgent task. */
 export const JUST_BEGUN = seconds(8);
 
+export interface BoardEvents {
+  /** Something changed that may let a waiting task be placed. */
+  wake(): void;
+  /** A task of a gang was lost, or found lost, while others of it may be on machines. */
+  gangBroken(job: Job): void;
+}
+
 export interface Begun {
   readonly job: Job;
   readonly index: number;
@@ -39,8 +46,7 @@
     readonly fleet: Fleet,
     private readonly clock: Clock,
     private readonly log: Logger,
-    /** Something changed that may let a waiting task be placed. */
-    private readonly wake: () => void,
+    private readonly events: BoardEvents,
   ) {}
 
   assign(job: Job, index: number, p: Placement): void {
@@ -61,7 +67,7 @@
     const key = taskKey(job.id, index);
     this.fleet.release(p.machine, key, p.attempt);
     this.stopping.delete(key);
-    this.wake();
+    this.events.wake();
   }
 
   /** Proof was found that the task is on no machine. */
@@ -71,6 +77,17 @@
     this.log.debug({ job: job.id, index, machine: p.machine, why }, 'task is free again');
     this.release(job, index);
     job.unplace(index);
+    this.checkGang(job);
+  }
+
+  /** Takes in a job that the store holds, with its placements. */
+  admit(job: Job): void {
+    for (const [index, p] of job.placed) this.assign(job, index, p);
+    this.checkGang(job);
+  }
+
+  private checkGang(job: Job): void {
+    if (job.isGang && isDivided(job)) this.events.gangBroken(job);
   }
 
   finish(job: Job, index: number): void {
@@ -86,13 +103,20 @@
     for (const key of this.stopping.keys()) {
       if (parseTaskKey(key)?.job === job.id) this.stopping.delete(key);
     }
-    for (const [index, p] of job.placed) this.assign(job, index, p);
-    this.wake();
+    this.admit(job);
+    this.events.wake();
   }
 
+  /** To be stopped, so that it can run elsewhere or later; it saves first if it can. */
   evict(job: Job, index: number, p: Placement): void {
-    if (p.evict !== undefined) return;
-    p.evict = job.spec.stamp_every_s > 0 ? job.spec.stamp_s : 0;
+    if (p.evict === undefined) this.stop(job, index, p, canSave(job) ? job.spec.stamp_s : 0);
+  }
+
+  /** To be stopped within so many seconds; less time than before replaces what was told first. */
+  stop(job: Job, index: number, p: Placement, graceS: number): void {
+    if (p.evict !== undefined && p.evict <= graceS) return;
+    p.evict = graceS;
+    p.stopped = false;
     this.stopping.set(taskKey(job.id, index), job.spec.vcpus);
   }
 
@@ -121,6 +145,13 @@
     }
     for (const key of [...m.assigned.keys()]) m.unassign(key);
     this.fleet.sweepStrays(m, undefined);
-    this.wake();
+    this.events.wake();
   }
 }
+
+/** Whether the tasks of a job are not all in the same state: placed, waiting or done. */
+const isDivided = (job: Job): boolean =>
+  [job.placed.size, job.waiting.size, job.doneCount].filter((n) => n > 0).length > 1;
+
+/** Whether a task of the job can save its progress when it is stopped. */
+export const canSave = (job: Job): boolean => job.spec.stamp_every_s > 0;
--- a/src/leader/deps.ts
+++ b/src/leader/deps.ts
@@ -6,6 +6,7 @@
 import type { HttpClient } from '../net/http.js';
 import type { StoreClient } from '../store/client.js';
 import type { StoreFront } from '../ledger/front.js';
+import type { RecordLimits } from '../ledger/record-limits.js';
 import type { Peer } from '../peer/channel.js';
 import type { MachineImages } from '../peer/messages.js';
 import type { Clock, Epoch, NodeId, Random } from '../units/index.js';
@@ -16,6 +17,7 @@
   readonly operator: OperatorSettings;
   readonly store: StoreClient;
   readonly front: StoreFront;
+  readonly recordLimits: RecordLimits;
   readonly cloud: CloudClient;
   readonly http: HttpClient;
   readonly catalog: Catalog;
--- a/src/leader/dispatch.ts
+++ b/src/leader/dispatch.ts
@@ -1,9 +1,8 @@
 import { silentAfter } from '../capacity/lost-machines.js';
 import type { Machine } from '../fleet/machine.js';
 import { less, sizeOfFlavor, sizeOfSpec } from '../fleet/size.js';
-import { openTaskLimit } from '../ledger/codec.js';
 import type { Job } from '../ledger/job.js';
-import { compare, placeInQueue, rankOf, type Place } from '../ledger/queue.js';
+import { compare, isUrgent, placeInQueue, rankOf, type Place } from '../ledger/queue.js';
 import {
   allows,
   place as placeTasks,
@@ -26,7 +25,7 @@
 import { JUST_BEGUN, type Begun, type Board } from './board.js';
 import type { TermDeps } from './deps.js';
 import type { Orders } from './orders.js';
-import { UrgentWork } from './urgent.js';
+import { StandbyWork } from './standby.js';
 
 /** What happens within this time is placed together; longer, the longer that placing takes. */
 const GATHER_LEAST = ms(5);
@@ -40,7 +39,7 @@
 
 /** Where waiting tasks go: the placer's view of jobs and machines, and what follows from its word. */
 export class Dispatch {
-  readonly urgent = new UrgentWork();
+  readonly standby: StandbyWork;
   private gathering = false;
   private gather = GATHER_LEAST;
   private closed = false;
@@ -52,7 +51,9 @@
     private readonly board: Board,
     private readonly orders: Orders,
     private readonly deps: TermDeps,
-  ) {}
+  ) {
+    this.standby = new StandbyWork(deps.settings.objectives);
+  }
 
   close(): void {
     this.closed = true;
@@ -96,8 +97,7 @@
     if (hosts.length === 0) return;
     const wants = queue.map((p) => this.want(p, now));
     const fleet = hosts.reduce((n, h) => n + h.total.cpus, 0);
-    const reserve = this.urgent.reserve(fleet, now);
-    for (const { job } of queue) this.regroup(job);
+    const reserve = this.standby.reserve(fleet, now);
     const result = placeTasks(wants, hosts, this.teamRoom(), MOST_PER_ROUND, reserve);
     if (result.length < MOST_PER_ROUND) this.makeRoom(queue, result, now);
     const byJob = new Map<JobId, { index: number; machine: MachineId }[]>();
@@ -134,15 +134,6 @@
     return this.board.fleet.machines;
   }
 
-  /** The rest of a gang that lost a part can't go on without it. */
-  private regroup(job: Job): void {
-    if (job.spec.shape !== 'ensemble' || job.placed.size === 0) return;
-    for (const [index, p] of job.placed) {
-      this.board.evict(job, index, p);
-      this.orders.push(p.machine);
-    }
-  }
-
   /**
    * Urgent tasks that found no room take that of less urgent ones which have only just begun, so
    * that little work is lost. What is stopped waits again, behind them in the queue.
@@ -156,7 +147,7 @@
     const rooms = this.teamRoom();
     for (const { job } of queue) {
       if (budget <= 0) return;
-      if (!UrgentWork.is(job.spec)) continue;
+      if (!isUrgent(job.spec.urgency)) continue;
       const left = job.waiting.size - placed.filter((a) => a.job === job.id).length;
       let cpus = left * job.spec.vcpus - this.board.comingFree;
       if (left <= 0 || cpus <= 0) continue;
@@ -234,7 +225,7 @@
     for (const m of this.machines.values()) {
       if (m.up) cpus += this.deps.catalog.flavor(m.place.build)?.vcpus ?? 0;
     }
-    return this.urgent.expected(cpus);
+    return this.standby.expected(cpus);
   }
 
   private want({ job, rank, tasks, mustBegin }: Place, now: SteadyMs): Want {
@@ -250,10 +241,12 @@
     const unknown = inZone.get('') ?? 0;
     // Tasks whose machine's zone is not known yet may be in any.
     const perZone = spec.apart ? Math.ceil(spec.entries / 2) - unknown : Infinity;
-    const whole = spec.shape === 'ensemble';
-    const regrouping = whole && job.placed.size > 0;
+    const whole = job.isGang;
+    // The next attempt of a gang begins when the one before is gone.
+    const isHeld = whole && job.placed.size > 0;
     const count = whole ? job.waiting.size : tasks;
-    const room = openTaskLimit(spec, this.deps.settings.state.valueBytes) - job.open;
+    const { recordLimits } = this.deps;
+    const room = recordLimits.openTasks(spec, this.board.fleet.longestOtherName) - job.open;
     return {
       id: job.id,
       team: spec.desk,
@@ -268,12 +261,12 @@
       zone: job.placed.size > 0 ? (job.zone ?? '') : undefined,
       perZone,
       inZone,
-      // A gang that lost a part is stopped and starts over as a whole.
-      indexes: regrouping ? [] : this.placeable(job, room, zoned, count),
-      count: regrouping ? 0 : count,
+      indexes: isHeld ? [] : this.placeable(job, room, zoned, count),
+      count: isHeld ? 0 : count,
       whole,
       avoid: new Set([...job.faultyOn].filter(([, until]) => until > now).map(([id]) => id)),
-      urgent: UrgentWork.is(spec) || rank < 0,
+      urgent: isUrgent(spec.urgency) || rank < 0,
+      isExpected: this.standby.isExpected(spec),
       rank,
       mustBegin,
     };
--- a/src/leader/orders.ts
+++ b/src/leader/orders.ts
@@ -92,7 +92,7 @@
       const p = job?.placed.get(a.index);
       const attempt = attemptKey(key, a.attempt);
       if (!job || !p || r.byAttempt.has(attempt)) continue;
-      if (job.aborted) {
+      if (job.aborted || p.evict !== undefined) {
         // A start sent straight to the worker may still arrive. Used up here, it can't run then.
         if (m.doubts.has(attempt)) {
           out.push({ verb: 'launch', entry: key, try: a.attempt });
@@ -167,7 +167,7 @@
     for (const m of this.pushes) {
       if (this.underWay >= most) return;
       this.pushes.delete(m);
-      if (!this.reachable(m)) continue;
+      if (m.directBusy || !this.canReach(m)) continue;
       const { orders, started } = this.direct(m);
       if (orders.length > 0) this.dispatch(m, () => this.command(m, orders, started));
     }
@@ -186,9 +186,10 @@
       });
   }
 
-  private reachable(m: Machine): boolean {
+  /** Whether a command can be sent to a machine now, or as soon as the one under way is answered. */
+  canReach(m: Machine): boolean {
     const now = this.deps.clock.steady();
-    if (this.closed || m.directBusy || !m.up || !m.addr || !m.report || m.deleteSent) return false;
+    if (this.closed || !m.up || !m.addr || !m.report || m.deleteSent) return false;
     return now >= m.directUntil && now <= m.expires && this.deps.authority() === this.epoch;
   }
 
@@ -311,14 +312,11 @@
       const job = this.jobs.get(a.job);
       const p = job?.placed.get(a.index);
       if (!job || !p || p.version > job.committed) continue;
-      if (job.aborted) {
+      if (job.aborted || p.evict !== undefined) {
         if (p.stopped || !(p.seen || p.pushed || p.sent || p.inherited)) continue;
         p.stopped = true;
-        orders.push({ verb: 'kill', entry: key, try: a.attempt, wind_down_s: 0 });
-      } else if (p.evict !== undefined && p.seen) {
-        if (p.stopped) continue;
-        p.stopped = true;
-        orders.push({ verb: 'kill', entry: key, try: a.attempt, wind_down_s: p.evict });
+        const grace = job.aborted ? 0 : (p.evict ?? 0);
+        orders.push({ verb: 'kill', entry: key, try: a.attempt, wind_down_s: grace });
       } else if (!this.isBusy && !p.seen && !p.pushed && !p.sent && !p.inherited && !m.draining) {
         p.pushed = true;
         // Until it is answered the start may arrive at any time.
--- a/src/leader/reports.ts
+++ b/src/leader/reports.ts
@@ -24,6 +24,7 @@
 import type { RelayedReport } from '../peer/messages.js';
 import type { Board } from './board.js';
 import type { TermDeps } from './deps.js';
+import type { Gangs } from './gangs.js';
 import type { Orders } from './orders.js';
 
 type UnchangedReport = RelayedReport & { readonly kind: 'unchanged' };
@@ -46,6 +47,7 @@
     private readonly epoch: Epoch,
     private readonly board: Board,
     private readonly orders: Orders,
+    private readonly gangs: Gangs,
     private readonly deps: TermDeps,
     /** The machine may have come to be of use. */
     private readonly wake: () => void,
@@ -146,7 +148,8 @@
       } else if (e.cause === 'done') {
         if (job && !job.isDone(ref.index)) {
           m.uses(job.spec.bundle, job.spec.size_gb);
-          this.board.finish(job, ref.index);
+          if (job.isGang) this.gangs.complete(job);
+          else this.board.finish(job, ref.index);
         }
       } else if (mine && job) {
         this.failed(m, job, ref.index, e, now);
@@ -164,7 +167,8 @@
       // Not wanted there any more: a proof of absence frees it.
       // An inherited one starts over in the queue: its leader may have given its room away already
       // without having written that, and starting it again could take its team over the limit.
-      const unwanted = job.aborted || p.inherited || (m.draining && p.version <= job.committed);
+      const leaves = m.draining && p.version <= job.committed;
+      const unwanted = job.aborted || p.inherited || p.evict !== undefined || leaves;
       if (!unwanted) continue;
       const how = { inherited: p.inherited, sent: p.sent };
       if (provenAbsent(r, beat, key, a.attempt, how, m.doubts, this.epoch)) {
--- a/src/leader/standby.ts
+++ b/src/leader/standby.ts
@@ -1,3 +1,6 @@
+/** Room to have standing by, so that the next job of a class that must start at once finds it. */
+import type { Objective } from '../config/settings.js';
+import { isUrgent } from '../ledger/queue.js';
 import type { Reserve } from '../placer/placer.js';
 import { seconds, since, type SteadyMs } from '../units/index.js';
 import type { JobSpec } from '../wire/index.js';
@@ -5,9 +8,9 @@
 /** How much of a new submission counts in the running mean. */
 const WEIGHT = 0.2;
 const ROOM = 2;
-/** An image without urgent work for this long gets no room. */
+/** An image without such work for this long gets no room. */
 const FORGET = seconds(180);
-/** The most of the fleet that is kept free. */
+/** The most of the fleet that is kept free for one image. */
 const MOST_SHARE = 0.1;
 
 interface Seen {
@@ -17,20 +20,27 @@
   at: SteadyMs;
 }
 
-/** What urgent work has been coming lately, by image: the room to keep for more of it. */
-export class UrgentWork {
+/** What urgent work, and work whose start users wait for, has been coming lately, by image. */
+export class StandbyWork {
   private readonly seen = new Map<string, Seen>();
+  private readonly awaitedClasses: ReadonlySet<string>;
 
-  static is(s: Pick<JobSpec, 'urgency'>): boolean {
-    return s.urgency === 'prod' || s.urgency === 'high';
+  constructor(objectives: readonly Objective[]) {
+    const awaited = objectives.filter((o) => o.kind === 'wait' && o.docket !== undefined);
+    this.awaitedClasses = new Set(awaited.map((o) => o.docket ?? ''));
   }
 
-  note(s: JobSpec, now: SteadyMs): void {
-    if (!UrgentWork.is(s)) return;
-    const cpus = s.entries * s.vcpus;
-    const known = this.seen.get(s.bundle);
-    this.seen.set(s.bundle, {
-      spec: s,
+  /** Whether room is kept for jobs like this one. */
+  isExpected(spec: JobSpec): boolean {
+    return isUrgent(spec.urgency) || this.awaitedClasses.has(spec.docket);
+  }
+
+  note(spec: JobSpec, now: SteadyMs): void {
+    if (!this.isExpected(spec)) return;
+    const cpus = spec.entries * spec.vcpus;
+    const known = this.seen.get(spec.bundle);
+    this.seen.set(spec.bundle, {
+      spec,
       mean: known ? known.mean + WEIGHT * (cpus - known.mean) : cpus,
       at: now,
     });
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -23,6 +23,7 @@
 import { Board } from './board.js';
 import type { TermDeps } from './deps.js';
 import { Dispatch } from './dispatch.js';
+import { Gangs, isUntold } from './gangs.js';
 import { ImageHintSender } from './image-hints.js';
 import { Orders } from './orders.js';
 import { Reports } from './reports.js';
@@ -56,6 +57,7 @@
   readonly capacity: CapacityKeeper;
   private readonly board: Board;
   private readonly orders: Orders;
+  private readonly gangs: Gangs;
   private readonly reports: Reports;
   private readonly dispatch: Dispatch;
   private readonly hintSender = new ImageHintSender();
@@ -84,7 +86,7 @@
     this.fleetTold = began;
     this.rebuilt = new Promise((resolve) => (this.stopWaiting = resolve));
     clock.after(MOST_REBUILD_WAIT, () => this.stopWaiting());
-    this.ledger = new Ledger(deps.store, epoch, settings.state.txnOps, clock, random, log, {
+    this.ledger = new Ledger(deps.store, epoch, deps.recordLimits, clock, random, log, {
       committed: (job) => this.onCommitted(job),
       adopted: (job) => this.board.readopt(job),
       dropped: (job) => this.onDropped(job),
@@ -103,9 +105,14 @@
         return job && sizeOfSpec(job.spec);
       },
     });
-    this.board = new Board(this.ledger, this.fleet, clock, log, () => this.dispatch.wake());
+    this.board = new Board(this.ledger, this.fleet, clock, log, {
+      wake: () => this.dispatch.wake(),
+      gangBroken: (job) => this.gangs.noteBroken(job),
+    });
     this.orders = new Orders(epoch, this.board, deps, (m, r) => this.reports.observe(m, r, false));
-    this.reports = new Reports(epoch, this.board, this.orders, deps, () => this.dispatch.wake());
+    this.gangs = new Gangs(this.board, this.orders, clock);
+    const wake = (): void => this.dispatch.wake();
+    this.reports = new Reports(epoch, this.board, this.orders, this.gangs, deps, wake);
     this.dispatch = new Dispatch(epoch, this.board, this.orders, deps);
     this.capacity = new CapacityKeeper(
       {
@@ -155,6 +162,7 @@
       for (const item of listed.items) {
         const id = JobId(item.key.slice(LIVE_PREFIX.length));
         try {
+          this.deps.recordLimits.noteRecord(item.data);
           this.admit(decodeJob(id, item.data, item.stamp, now));
         } catch (e) {
           this.deps.log.error({ job: id, err: e }, 'unreadable record; the job waits for repair');
@@ -198,6 +206,7 @@
           cpu: limits.cpu,
         };
         this.redirecting = redirectsWorkers(this.redirecting, load);
+        this.gangs.reviewLeaving();
         this.sendHints();
         this.tellFleet();
         this.dispatch.wake();
@@ -264,8 +273,8 @@
   /** Takes a job that the store holds into the ledger, and its placements onto their machines. */
   private admit(job: Job): void {
     this.ledger.insert(job);
-    this.dispatch.urgent.note(job.spec, this.deps.clock.steady());
-    for (const [index, p] of job.placed) this.board.assign(job, index, p);
+    this.dispatch.standby.note(job.spec, this.deps.clock.steady());
+    this.board.admit(job);
     if (job.settled) job.touch(Press.finish);
     this.dispatch.wake();
   }
@@ -296,7 +305,7 @@
     const job = new Job(id, spec, this.deps.clock.wall(), Revision(0));
     job.touch(Press.intake);
     this.ledger.insert(job);
-    this.dispatch.urgent.note(spec, this.deps.clock.steady());
+    this.dispatch.standby.note(spec, this.deps.clock.steady());
     // What finds room now is placed in the same transaction that takes the job in.
     this.dispatch.place();
     const ok = await this.ledger.written(job);
@@ -355,9 +364,7 @@
     job.abort();
     // What was never started need not be stopped.
     for (const [index, p] of [...job.placed]) {
-      if (!p.inherited && !p.seen && !p.pushed && !p.sent) {
-        this.board.unplace(job, index, 'cancelled');
-      }
+      if (isUntold(p)) this.board.unplace(job, index, 'cancelled');
     }
     const ok = await this.ledger.written(job);
     if (!ok) return { kind: 'unsure' };
--- /dev/null
+++ b/src/ledger/admission.ts
@@ -0,0 +1,23 @@
+/** Whether a submitted job can ever run here, alike on every node. */
+import type { Team } from '../config/settings.js';
+import type { Catalog, Verdict } from '../cloud/catalog.js';
+import type { JobSpec } from '../wire/index.js';
+import { isGang } from './job.js';
+import type { RecordLimits } from './record-limits.js';
+
+export class Admission {
+  constructor(
+    private readonly catalog: Catalog,
+    private readonly teams: ReadonlyMap<string, Team>,
+    private readonly recordLimits: RecordLimits,
+  ) {}
+
+  judge(spec: JobSpec): Verdict {
+    // A gang is placed in one transaction, so all of it has to fit one record.
+    const openTasks = isGang(spec) ? spec.entries : 1;
+    if (!this.recordLimits.canRecord(spec, openTasks)) {
+      return { never: 'entries: its record would exceed the limits of the state service' };
+    }
+    return this.catalog.judge(spec, this.teams);
+  }
+}
--- a/src/ledger/front.ts
+++ b/src/ledger/front.ts
@@ -1,9 +1,9 @@
 import type { StoreClient } from '../store/client.js';
 import { Epoch, JobId, Revision, ms, type Clock, type DurationMs } from '../units/index.js';
 import type { JobSpec } from '../wire/index.js';
-import { decodeFinal, decodeJob, doneKey, encodeJob, encodeFinal, liveKey } from './codec.js';
+import { LEADER_KEY, decodeFinal, decodeJob, doneKey, encodeFinal, liveKey } from './codec.js';
 import { Job, type Final } from './job.js';
-import { LEADER_KEY } from './ledger.js';
+import type { RecordLimits } from './record-limits.js';
 
 const NOTICES = 'inbox/';
 const ABORT = '/abort';
@@ -38,6 +38,7 @@
   constructor(
     private readonly store: StoreClient,
     private readonly clock: Clock,
+    private readonly limits: RecordLimits,
   ) {}
 
   /**
@@ -50,6 +51,7 @@
     const live = await this.store.get(liveKey(id), TIMEOUT, FOR_USER);
     if (live.kind === 'failed') return { kind: 'unsure' };
     if (live.kind === 'found') {
+      this.limits.noteRecord(live.data);
       return { kind: 'live', job: decodeJob(id, live.data, live.stamp, this.clock.steady()) };
     }
     const done = await this.store.get(doneKey(id), TIMEOUT, FOR_USER);
@@ -85,13 +87,14 @@
         { key: doneKey(id), stamp: 0 },
       ],
       [
-        { put: liveKey(id), data: encodeJob(job, Epoch(0)) },
+        { put: liveKey(id), data: this.limits.encode(job, Epoch(0)).record },
         { put: this.noticeKey(id), data: {} },
       ],
       TIMEOUT,
       FOR_USER,
     );
     if (result.kind === 'committed') return 'created';
+    if (result.kind === 'oversize') this.limits.noteRefusal();
     return result.kind === 'conflict' ? 'exists' : 'unsure';
   }
 
@@ -117,10 +120,11 @@
         )
       : await this.store.multi(
           conditions,
-          [{ put: liveKey(id), data: encodeJob(job, Epoch(0)) }],
+          [{ put: liveKey(id), data: this.limits.encode(job, Epoch(0)).record }],
           TIMEOUT,
           FOR_USER,
         );
+    if (result.kind === 'oversize') this.limits.noteRefusal();
     if (result.kind !== 'committed') return { kind: 'unsure' };
     return job.settled ? { kind: 'final', final: job.final() } : held;
   }
--- a/src/ledger/job.ts
+++ b/src/ledger/job.ts
@@ -47,6 +47,9 @@
   readonly cause: string;
 }
 
+/** Whether the tasks of a job run all at the same time or not at all. */
+export const isGang = (spec: Pick<JobSpec, 'shape'>): boolean => spec.shape === 'ensemble';
+
 /** Why a record is to be written, most urgent first. */
 export const Press = { intake: 0, place: 1, finish: 2, progress: 3, none: 4 } as const;
 export type Press = (typeof Press)[keyof typeof Press];
@@ -95,6 +98,11 @@
     this.waiting = waiting ?? Ranges.of([[0, spec.entries]]);
   }
 
+  /** Its tasks run all at the same time or not at all. */
+  get isGang(): boolean {
+    return isGang(this.spec);
+  }
+
   get doneCount(): number {
     return this.spec.entries - this.waiting.size - this.placed.size;
   }
--- a/src/ledger/ledger.ts
+++ b/src/ledger/ledger.ts
@@ -3,6 +3,7 @@
 import type { Commit, StoreClient } from '../store/client.js';
 import { Backoff } from '../store/budget.js';
 import {
+  later,
   ms,
   sleep,
   since,
@@ -15,28 +16,16 @@
   type SteadyMs,
   type Timer,
 } from '../units/index.js';
-import type { Condition, Write } from '../wire/index.js';
-import {
-  decodeFinal,
-  decodeJob,
-  doneKey,
-  encodeFinal,
-  encodeJob,
-  liveKey,
-  markOf,
-  sizeOf,
-} from './codec.js';
+import { BatchBuilder, changesOf, type Batch, type Sent } from './batch.js';
+import { LEADER_KEY, decodeFinal, decodeJob, doneKey, liveKey, markOf } from './codec.js';
 import { rankOf } from './queue.js';
-import { Press, type Final, type Job, type Shown } from './job.js';
-
-export const LEADER_KEY = 'leader';
+import type { RecordLimits } from './record-limits.js';
+import { Press, type Final, type Job } from './job.js';
 
 const TXN_TIMEOUT = ms(2000);
 const READ_TIMEOUT = ms(2000);
 /** Transactions under way at once: a slow one must not hold up the others. */
 const MAX_IN_FLIGHT = 3;
-/** A transaction may hold 64 KiB in all. */
-const MAX_TXN_BYTES = 56 * 1024;
 /** Progress that only saves rework after a takeover is written at most this often per job. */
 const PROGRESS_EVERY = ms(2000);
 /** Progress leaves this share of a full burst of writes to what may come next. */
@@ -52,20 +41,14 @@
   [Press.progress]: ms(5000),
 };
 const MAX_FINALS = 4000;
+/** How long a record that is too large even by itself is not tried again: as its tasks end, it shrinks. */
+const OVERSIZE_HOLD = ms(2000);
 
 interface Waiter {
   readonly version: number;
   readonly settle: (ok: boolean) => void;
 }
 
-interface Sent {
-  readonly job: Job;
-  readonly version: number;
-  readonly shown: Shown;
-  readonly press: Press;
-  readonly final: Final | undefined;
-}
-
 export interface LedgerEvents {
   /** A version of the job is in the store: what waited for it may happen. */
   committed(job: Job): void;
@@ -89,6 +72,8 @@
   private readonly lastCommit = new Map<JobId, SteadyMs>();
   /** Jobs with changes that are not in the store yet, and since when. */
   private readonly dirty = new Map<Job, SteadyMs>();
+  /** Jobs of a transaction that was refused as too large: each is tried by itself, and not before then. */
+  private readonly alone = new Map<Job, SteadyMs>();
   private readonly lock = new Mutex();
   private readonly backoff: Backoff;
   private inFlight = 0;
@@ -103,7 +88,7 @@
   constructor(
     private readonly store: StoreClient,
     private readonly epoch: Epoch,
-    private readonly txnOps: number,
+    private readonly limits: RecordLimits,
     private readonly clock: Clock,
     random: Random,
     private readonly log: Logger,
@@ -148,6 +133,7 @@
 
   private unmind(job: Job): void {
     job.onTouch = undefined;
+    this.alone.delete(job);
     this.dirty.delete(job);
   }
 
@@ -250,6 +236,11 @@
         continue;
       }
       if (job.inFlight) continue;
+      const held = since(now, this.alone.get(job) ?? now);
+      if (held > 0) {
+        this.wake(held);
+        continue;
+      }
       const press = job.press === Press.none ? Press.progress : job.press;
       if (press === Press.progress) {
         const last = this.lastCommit.get(job.id);
@@ -266,73 +257,42 @@
     return due.sort((a, b) => a.at - b.at).map((d) => d.job);
   }
 
-  private assemble():
-    { sent: Sent[]; conditions: Condition[]; writes: Write[]; notices: string[] } | undefined {
+  private assemble(): Batch | undefined {
     const due = this.due(this.clock.steady());
     const room = this.store.writeRoom();
-    const most = Math.min(this.txnOps, room.writes);
-    const sent: Sent[] = [];
-    const conditions: Condition[] = [{ key: LEADER_KEY, stamp: this.epoch }];
-    const writes: Write[] = [];
-    let bytes = 0;
+    const batch = new BatchBuilder(
+      this.epoch,
+      this.limits,
+      Math.min(this.limits.txnOps, room.writes),
+    );
     for (const job of due) {
-      const key = liveKey(job.id);
-      // A job that was never written can't be finished: nothing of it ran.
-      const final = job.settled && job.revision > 0 ? job.final() : undefined;
-      const ops = final ? 2 : 1;
-      const spare = job.press >= Press.progress;
-      if (spare && room.share < PROGRESS_LEAVES) {
+      const isSpare = job.press >= Press.progress;
+      if (isSpare && room.share < PROGRESS_LEAVES) {
         this.wake(ms(500));
         break;
       }
-      if (writes.length + ops > most) {
+      const isAlone = this.alone.has(job);
+      if (isAlone && !batch.isEmpty) continue;
+      if (!batch.hasRoomFor(changesOf(job))) {
         // What is next in order waits for its turn; less pressing work does not overtake it.
-        if (writes.length === 0) this.wake(this.store.writeWait(ops));
+        if (batch.isEmpty) this.wake(this.store.writeWait(changesOf(job)));
         break;
       }
-      const record = final ? encodeFinal(final) : encodeJob(job, this.epoch);
-      const size = sizeOf(record) + 200;
-      if (bytes > 0 && bytes + size > MAX_TXN_BYTES) break;
-      bytes += size;
-      conditions.push({ key, stamp: job.revision });
-      if (final) {
-        conditions.push({ key: doneKey(job.id), stamp: 0 });
-        writes.push({ put: doneKey(job.id), data: record }, { delete: key });
-      } else {
-        // A creation must not bring back a job that is over.
-        if (job.revision === 0) conditions.push({ key: doneKey(job.id), stamp: 0 });
-        writes.push({ put: key, data: record });
-      }
-      job.inFlight = true;
-      job.turning = job.endUnsure || final !== undefined || job.aborted !== job.shown.aborted;
-      sent.push({
-        job,
-        version: job.version,
-        press: job.press,
-        shown: { aborted: job.aborted, done: job.doneCount, running: job.placed.size },
-        final,
-      });
-      job.press = Press.none;
+      if (!batch.add(job)) break;
       this.dirty.delete(job);
+      if (isAlone) return batch.build();
     }
-    const notices: string[] = [];
     for (const key of this.notices) {
-      if (writes.length >= most) break;
-      writes.push({ delete: key });
-      notices.push(key);
+      if (!batch.hasRoomFor(1)) break;
+      batch.forget(key);
       this.notices.delete(key);
     }
-    if (writes.length > 0) return { sent, conditions, writes, notices };
+    if (!batch.isEmpty) return batch.build();
     if (this.notices.size > 0) this.wake(this.store.writeWait(1));
     return undefined;
   }
 
-  private async write(batch: {
-    sent: Sent[];
-    conditions: Condition[];
-    writes: Write[];
-    notices: string[];
-  }): Promise<void> {
+  private async write(batch: Batch): Promise<void> {
     let result: Commit;
     try {
       result = await this.store.multi(batch.conditions, batch.writes, TXN_TIMEOUT);
@@ -377,6 +337,9 @@
         }
         await Promise.all(batch.sent.map((s) => this.reread(s)));
         return;
+      case 'oversize':
+        this.refusedAsTooLarge(batch.sent);
+        return;
       case 'leaseless':
       case 'refused':
         this.log.info({ why: result.kind === 'refused' ? result.why : '' }, 'commit refused');
@@ -388,6 +351,23 @@
     }
   }
 
+  /**
+   * The limits of the state service may have been lowered since this was made: then all is written anew,
+   * smaller. Otherwise one record is at fault, and must hold up no others until it has shrunk.
+   */
+  private refusedAsTooLarge(sent: readonly Sent[]): void {
+    const isNews = this.limits.noteRefusal();
+    this.log.warn({ jobs: sent.length, isNews }, 'commit refused as too large');
+    const now = this.clock.steady();
+    for (const s of sent) {
+      if (!isNews) {
+        this.alone.set(s.job, sent.length > 1 ? now : later(now, OVERSIZE_HOLD));
+        if (sent.length === 1) this.settleWaiters(s.job.id, s.version, false);
+      }
+      this.retry(s);
+    }
+  }
+
   private retry(s: Sent): void {
     const { job } = s;
     job.inFlight = false;
@@ -412,6 +392,7 @@
     job.revision = revision;
     job.committed = Math.max(job.committed, s.version);
     job.shown = s.shown;
+    this.alone.delete(job);
     this.lastCommit.set(job.id, this.clock.steady());
     if (s.final) {
       this.unmind(job);
@@ -467,6 +448,7 @@
   /** The store holds something we did not write: it counts, our view of the job goes. */
   private adopt(job: Job, data: unknown, stamp: Revision): void {
     this.log.warn({ job: job.id }, 'record changed under us; taking what the store holds');
+    this.limits.noteRecord(data);
     const fresh = decodeJob(job.id, data, stamp, this.clock.steady());
     fresh.succeed(job);
     this.unmind(job);
--- a/src/ledger/queue.ts
+++ b/src/ledger/queue.ts
@@ -33,7 +33,9 @@
   const out: number[] = due === null ? [] : [job.submitted + due * 1000];
   for (const o of objectives) {
     if (o.docket !== docket) continue;
-    if (o.kind === 'finished' && o.within !== undefined && due === null) {
+    if (o.kind === 'wait' && o.within !== undefined && due === null && job.isGang) {
+      out.push(job.submitted + o.within + job.spec.expected_s * 1000);
+    } else if (o.kind === 'finished' && o.within !== undefined && due === null) {
       out.push(job.submitted + o.within);
     } else if (o.kind === 'deadline' && due !== null && o.times > 1) {
       out.push(job.submitted + due * 1000 * o.times);
@@ -83,4 +85,7 @@
   return { rank: RANK[job.spec.urgency], late, due, job, tasks: job.waiting.size, mustBegin };
 }
 
+/** Whether work of this urgency may take the place of ordinary work. */
+export const isUrgent = (u: Urgency): boolean => RANK[u] <= RANK.high;
+
 export const rankOf = (u: Urgency): number => RANK[u];
--- a/src/node.ts
+++ b/src/node.ts
@@ -9,9 +9,12 @@
 import { WorkerReports } from './api/worker-reports.js';
 import { Catalog } from './cloud/catalog.js';
 import { CloudClient } from './cloud/client.js';
+import { Admission } from './ledger/admission.js';
 import { StoreFront } from './ledger/front.js';
+import { RecordLimits } from './ledger/record-limits.js';
 import { Election } from './leader/election.js';
 import { ImageHints } from './leader/image-hints.js';
+import type { TermDeps } from './leader/deps.js';
 import { Term } from './leader/term.js';
 import type { HttpClient } from './net/http.js';
 import type { Peer } from './peer/channel.js';
@@ -19,7 +22,7 @@
 import type { MachineImages, PeerStatus } from './peer/messages.js';
 import { ReportRelay } from './relay/report-relay.js';
 import { StoreClient } from './store/client.js';
-import { NodeId, ms, seconds, sleep, type Clock, type Random } from './units/index.js';
+import { NodeId, ms, seconds, sleep, type Clock, type Epoch, type Random } from './units/index.js';
 
 const CATALOG_KEY = 'catalog';
 const CATALOG_EVERY = seconds(60);
@@ -61,10 +64,14 @@
       settings.stateAt,
       clock,
       random,
-      { rps: settings.state.rps, writeRps: settings.state.writeRps },
+      settings.state,
       settings.nodes,
     );
-    const front = new StoreFront(this.store, clock);
+    const recordLimits = new RecordLimits(settings.state, () => {
+      log.info('the state service has lowered its limits');
+      this.store.lowerRates();
+    });
+    const front = new StoreFront(this.store, clock, recordLimits);
     const cloud = new CloudClient(http, settings.cloudAt, clock, settings.cloud.rps);
     this.election = new Election(
       this.store,
@@ -75,28 +82,7 @@
       random,
       log,
       {
-        gained: (epoch) => {
-          const term = new Term(epoch, {
-            settings,
-            operator,
-            store: this.store,
-            front,
-            cloud,
-            http,
-            catalog: this.catalog,
-            clock,
-            random,
-            log: log.child({ epoch }),
-            authority: () => this.election.authority(),
-            deposed: (e) => this.election.deposed(e),
-            imageHints: this.imageHints,
-            tellImages: (machines) => this.tellImages(machines),
-            peers: world.peers,
-          });
-          term.capacity.onCatalog = () => void this.keepCatalog();
-          this.leadership.term = term;
-          void term.start().catch((e: unknown) => log.error({ err: e }, 'rebuild failed'));
-        },
+        gained: (epoch) => this.beginTerm(epoch, operator, { front, recordLimits, cloud }),
         lost: () => {
           this.leadership.term?.close();
           this.leadership.term = undefined;
@@ -114,10 +100,9 @@
     );
     const isIsolated = (): boolean => this.heartbeats.isIsolated(this.store.servedAt);
     this.users = new UserRequests(
-      settings,
+      new Admission(this.catalog, settings.teams, recordLimits),
       this.leadership,
       front,
-      this.catalog,
       clock,
       log,
       isIsolated,
@@ -130,6 +115,33 @@
     });
   }
 
+  private beginTerm(
+    epoch: Epoch,
+    operator: OperatorSettings,
+    shared: Pick<TermDeps, 'front' | 'recordLimits' | 'cloud'>,
+  ): void {
+    const { clock, random, http, log, peers } = this.world;
+    const term = new Term(epoch, {
+      ...shared,
+      settings: this.settings,
+      operator,
+      store: this.store,
+      http,
+      catalog: this.catalog,
+      clock,
+      random,
+      log: log.child({ epoch }),
+      authority: () => this.election.authority(),
+      deposed: (e) => this.election.deposed(e),
+      imageHints: this.imageHints,
+      tellImages: (machines) => this.tellImages(machines),
+      peers,
+    });
+    term.capacity.onCatalog = () => void this.keepCatalog();
+    this.leadership.term = term;
+    void term.start().catch((e: unknown) => log.error({ err: e }, 'rebuild failed'));
+  }
+
   private ownStatus(): PeerStatus {
     return {
       leader: this.election.leader() ?? '',
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -31,6 +31,8 @@
   | { kind: 'committed'; revision: Revision }
   | { kind: 'conflict'; failed: readonly string[] }
   | { kind: 'leaseless' }
+  /** Not carried out, and never will be as it is: it exceeds the limits of the state service. */
+  | { kind: 'oversize' }
   | { kind: 'refused'; why: string }
   | { kind: 'unknown'; why: string };
 
@@ -44,11 +46,16 @@
   readonly keys: readonly string[];
 }
 
-export interface StoreLimits {
+export interface StoreRates {
   readonly rps: number;
   readonly writeRps: number;
 }
 
+export interface StoreLimits extends StoreRates {
+  /** The rates from a moment on that shows only by the answers. */
+  readonly next?: StoreRates | undefined;
+}
+
 /** What a node does decides its share of the store's rates. */
 export type Role = 'leading' | 'following' | 'leaderless';
 
@@ -75,6 +82,7 @@
  * what it turns away with 429 would cost as much as what it carries out.
  */
 export class StoreClient {
+  private rates: StoreRates;
   private requests: Bucket;
   private writes: Bucket;
   private role: Role = 'leaderless';
@@ -91,6 +99,7 @@
     private readonly limits: StoreLimits,
     private readonly nodes: number,
   ) {
+    this.rates = limits;
     this.requests = this.bucket(limits.rps, 'requests');
     this.writes = this.bucket(limits.writeRps, 'writes');
     this.served = clock.steady();
@@ -113,8 +122,20 @@
   setRole(role: Role): void {
     if (role === this.role) return;
     this.role = role;
-    this.requests = this.bucket(this.limits.rps, 'requests');
-    this.writes = this.bucket(this.limits.writeRps, 'writes');
+    this.requests = this.bucket(this.rates.rps, 'requests');
+    this.writes = this.bucket(this.rates.writeRps, 'writes');
+  }
+
+  /** From now on the rates to come are kept, where they are the lower ones. */
+  lowerRates(): void {
+    const { next } = this.limits;
+    if (!next || (next.rps >= this.rates.rps && next.writeRps >= this.rates.writeRps)) return;
+    this.rates = {
+      rps: Math.min(next.rps, this.rates.rps),
+      writeRps: Math.min(next.writeRps, this.rates.writeRps),
+    };
+    this.requests = this.bucket(this.rates.rps, 'requests');
+    this.writes = this.bucket(this.rates.writeRps, 'writes');
   }
 
   /** Waits for its turn; false, at once, if that would not come within `patience`. */
@@ -180,6 +201,7 @@
     });
     if (outcome.kind === 'answer' && outcome.status !== 503) this.served = this.clock.steady();
     if (outcome.kind === 'answer' && outcome.status === 429) {
+      this.lowerRates();
       this.requests.drain();
       if (writes > 0) this.writes.drain();
     }
@@ -275,7 +297,8 @@
     }
     const error = (o.body as { error?: unknown } | undefined)?.error;
     if (o.status === 400 && error === 'no such lease') return { kind: 'leaseless' };
-    if (o.status === 503 || o.status === 429 || o.status === 400) {
+    if (o.status === 400) return { kind: 'oversize' };
+    if (o.status === 503 || o.status === 429) {
       return {
         kind: 'refused',
         why: `status ${o.status} ${typeof error === 'string' ? error : ''}`,
--- a/test/unit/placer.test.ts
+++ b/test/unit/placer.test.ts
@@ -45,6 +45,7 @@
   indexes: Array.from({ length: count }, (_, i) => i),
   avoid: new Set(),
   urgent: false,
+  isExpected: false,
   rank: 2,
   mustBegin: false,
   whole: false,
--- a/test/unit/report-relay.test.ts
+++ b/test/unit/report-relay.test.ts
@@ -7,6 +7,7 @@
 import { toReport } from '../../src/fleet/machine.js';
 import type { Board } from '../../src/leader/board.js';
 import type { TermDeps } from '../../src/leader/deps.js';
+import type { Gangs } from '../../src/leader/gangs.js';
 import type { Orders } from '../../src/leader/orders.js';
 import { Reports } from '../../src/leader/reports.js';
 import type { Peer } from '../../src/peer/channel.js';
@@ -59,6 +60,7 @@
       epoch,
       board as unknown as Board,
       { answer: () => [] } as unknown as Orders,
+      {} as Gangs,
       { clock, settings, log: pino({ level: 'silent' }) } as unknown as TermDeps,
       () => undefined,
     );
--- a/test/unit/reports.test.ts
+++ b/test/unit/reports.test.ts
@@ -4,6 +4,7 @@
 import { toReport } from '../../src/fleet/machine.js';
 import type { Board } from '../../src/leader/board.js';
 import type { TermDeps } from '../../src/leader/deps.js';
+import type { Gangs } from '../../src/leader/gangs.js';
 import type { Orders } from '../../src/leader/orders.js';
 import { Reports } from '../../src/leader/reports.js';
 import { Job } from '../../src/ledger/job.js';
@@ -27,6 +28,7 @@
     Epoch(5),
     board as unknown as Board,
     {} as Orders,
+    {} as Gangs,
     deps as unknown as TermDeps,
     () => undefined,
   );
