Tests of gangs, of smaller values, and of both versions side by side

Found by these tests and mended: machines for a gang whose halves must be in two zones were all rented in one, so that it waited for ever.

--- a/src/capacity/keeper.ts
+++ b/src/capacity/keeper.ts
@@ -68,6 +68,7 @@
   run: ms(spec.expected_s * 1000),
   isGang: isGang(spec),
   together: spec.together,
+  apart: spec.apart,
 });
 
 interface Refusal {
--- a/src/capacity/planner.ts
+++ b/src/capacity/planner.ts
@@ -26,6 +26,8 @@
   /** All of it runs at once or none does; `together`: in one zone. */
   readonly isGang: boolean;
   readonly together: boolean;
+  /** At most half of a gang, rounded up, may be in one zone. */
+  readonly apart: boolean;
   /** How long a task is expected to run. */
   readonly run: DurationMs;
   /** A wait up to this long is not worth a machine. */
@@ -135,21 +137,19 @@
   }));
   const queues = new Queues(turnover);
   const fresh: Bin[] = [];
-  for (const d of demands) {
-    const hall = d.isGang && d.together ? zoneFor(d, bins, flavors, refused) : d.hall;
-    const demand = { ...d, hall };
+  const rent = (d: Demand): void => {
     let left = d.count;
     for (const bin of bins) {
       if (left === 0) break;
-      if (allows(demand, bin.offer)) left -= pack(bin, d, left);
+      if (allows(d, bin.offer)) left -= pack(bin, d, left);
     }
-    if (left === 0) continue;
-    const [soon = 0, pressing = 0] = queues.join(demand, left, [d.patience, d.slack]);
+    if (left === 0) return;
+    const [soon = 0, pressing = 0] = queues.join(d, left, [d.patience, d.slack]);
     left = Math.max(soon, pressing);
     let dear = pressing;
     while (left > 0 && fresh.length < most) {
-      const pick = cheapest(demand, left, dear > 0, flavors, refused);
-      if (!pick) break;
+      const pick = cheapest(d, left, dear > 0, flavors, refused);
+      if (!pick) return;
       const { cpus, gpus, ramGb } = sizeOfFlavor(pick.flavor);
       const bin: Bin = { offer: pick.offer, cpus, gpus, ramGb };
       const n = pack(bin, d, left);
@@ -158,6 +158,9 @@
       bins.push(bin);
       fresh.push(bin);
     }
+  };
+  for (const demand of demands) {
+    for (const part of byZone(demand, bins, flavors, refused)) rent(part);
   }
   const counts = new Map<string, Plan>();
   for (const bin of fresh) {
@@ -167,21 +170,30 @@
   return [...counts.values()];
 }
 
-/** Where a gang that must be in one zone goes: where all of it fits, else where machines can be had for it. */
-function zoneFor(
+/** What is wanted, bound to zones where all of a gang must be in one, or no more than half of it. */
+function byZone(
   d: Demand,
   bins: readonly Bin[],
   flavors: readonly Flavor[],
   refused: ReadonlySet<string>,
-): string | null {
+): Demand[] {
+  if (!d.isGang || d.hall !== null || !(d.together || d.apart)) return [d];
+  const most = d.together ? d.count : Math.ceil(d.count / 2);
   const zones = zonesByRoom(d, bins, flavors);
-  const first = zones[0];
-  if (!first) return d.hall;
-  if (first.tasks >= d.count) return first.hall;
-  const canGrow = zones.find(
-    ({ hall }) => cheapest({ ...d, hall }, d.count, true, flavors, refused) !== undefined,
+  // Where there is no room for its part, machines must be to be had.
+  const useful = zones.filter(
+    ({ hall, tasks }) =>
+      tasks >= most || cheapest({ ...d, hall }, most, true, flavors, refused) !== undefined,
   );
-  return (canGrow ?? first).hall;
+  const parts: Demand[] = [];
+  let left = d.count;
+  for (const { hall } of useful.length > 0 ? useful : zones) {
+    if (left === 0) break;
+    const count = Math.min(left, most);
+    parts.push({ ...d, hall, count });
+    left -= count;
+  }
+  return parts;
 }
 
 /** The zones that a gang might be in as a whole and how many of its tasks fit there, most first. */
--- a/test/standin/day.ts
+++ b/test/standin/day.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import type { Build } from './build.js';
 import { World } from './world.js';
 
 /** A share of a processor on which a handful of machines is too many. */
@@ -39,10 +40,61 @@
   assert.deepEqual(world.unfinished(), [], name);
 }
 
+/** As many as the team's limit lets end within the time that a day takes to settle. */
+const GANGS_PER_STEP = 0.25;
+
+/** Some gang, cancelled now and then. */
+export function submitGang(world: World): void {
+  const r = world.random;
+  const saves = r() < 0.6;
+  world.submit(
+    {
+      shape: 'ensemble',
+      entries: 2 + Math.floor(r() * 5),
+      vcpus: 1 + Math.floor(r() * 3),
+      urgency: r() < 0.5 ? 'high' : 'normal',
+      together: r() < 0.6,
+      loaners: r() < 0.5,
+      stamp_every_s: saves ? 4 : 0,
+      stamp_s: saves ? 1 + Math.floor(r() * 3) : 0,
+      bundle: r() < 0.5 ? 'x' : 'gang',
+    },
+    4000 + r() * 25_000,
+    r() < 0.2 ? r() * 30_000 : undefined,
+  );
+}
+
+export interface DayOptions {
+  /** Gangs are submitted beside the arrays. */
+  readonly gangs?: boolean;
+  /** All controllers begin with this version; they are upgraded in the course of the day. */
+  readonly build?: Build;
+}
+
+/** When each controller is upgraded: one after the other, in any order, or several at once. */
+function planUpgrade(world: World): void {
+  const r = world.random;
+  const nodes = [0, 1, 2].sort(() => r() - 0.5);
+  let at = 20_000 + r() * 20_000;
+  for (const n of nodes) {
+    world.time.after(at, () => world.upgradeNode(n, r() < 0.3 ? 200 : 5000));
+    at += r() < 0.3 ? 0 : 2000 + r() * 15_000;
+  }
+}
+
+/** By this step of a day the upgrade is over: only then is anything new asked for. */
+const UPGRADED_BY_STEP = 25;
+
 /** A day on which everything goes wrong, alone and together, by the luck of its seed. */
-export async function badDay(seed: number): Promise<World> {
+export async function badDay(seed: number, options: DayOptions = {}): Promise<World> {
   // On every third, a leader so small that the others take its workers' reports.
-  const world = new World({ seed, loss: 0.01, ...(seed % 3 === 0 ? { cpu: TINY_CPU } : {}) });
+  const world = new World({
+    seed,
+    loss: 0.01,
+    ...(seed % 3 === 0 ? { cpu: TINY_CPU } : {}),
+    ...(options.build ? { build: options.build } : {}),
+  });
+  if (options.build) planUpgrade(world);
   const r = world.random;
   const pick = <T>(list: readonly T[]): T => list[Math.floor(r() * list.length)] as T;
   world.copies(0.02);
@@ -67,6 +119,8 @@
         );
       }
     }
+    const isUpgraded = options.build === undefined || s >= UPGRADED_BY_STEP;
+    if (options.gangs && isUpgraded && r() < GANGS_PER_STEP) submitGang(world);
     const n = Math.floor(r() * 3);
     const later = (delay: number, run: () => void): void => {
       world.time.after(delay, run);
--- a/test/standin/state.ts
+++ b/test/standin/state.ts
@@ -49,7 +49,7 @@
 
   constructor(
     private readonly time: Pick<VirtualTime, 'now' | 'after'>,
-    private readonly limits: StateLimits,
+    private limits: StateLimits,
   ) {
     this.requests = { tokens: limits.rps, at: 0 };
     this.writes = { tokens: limits.writeRps, at: 0 };
@@ -63,6 +63,14 @@
   /** Watches asked for so far. */
   watched = 0;
 
+  /** Transactions refused as too large. */
+  tooLarge = 0;
+
+  /** From now on it takes less, without notice. */
+  lower(limits: StateLimits): void {
+    this.limits = limits;
+  }
+
   outage(on: boolean): void {
     this.out = on;
     if (!on) for (const l of this.leases.values()) l.ends = this.time.now + l.ttl;
@@ -166,6 +174,7 @@
       (m.if?.length ?? 0) > 4 * this.limits.txnOps ||
       sizes.some((s) => s > this.limits.valueBytes)
     ) {
+      this.tooLarge++;
       return { status: 400, body: { error: 'too large' } };
     }
     if (writes.some((w) => typeof w.tenure === 'number' && !this.leases.has(w.tenure))) {
--- a/test/standin/worker.ts
+++ b/test/standin/worker.ts
@@ -1,14 +1,18 @@
 import type { HttpClient } from '../../src/net/http.js';
 import { Endpoint, ms, type Clock, type Random } from '../../src/units/index.js';
 import type { Order } from '../../src/wire/index.js';
+import type { GangRun, Member } from './gang-run.js';
 import type { Answered } from './network.js';
 import type { Rented } from './cloud.js';
 
 interface Held {
   entry: string;
   try: number;
-  status: 'fetching' | 'running' | 'exited';
+  status: 'fetching' | 'gathering' | 'running' | 'flushing' | 'exited';
   cause: string | undefined;
+  kept?: boolean;
+  /** Its part in a gang, from when it has its image. */
+  member?: Member;
   vcpus: number;
 }
 
@@ -18,8 +22,13 @@
   readonly runMs: number;
   readonly fetchMs: number;
   readonly image: string;
+  /** How long it takes to save when it is stopped; undefined if it can't. */
+  readonly saveMs?: number | undefined;
+  readonly gang?: GangRun | undefined;
 }
 
+const isOnMachine = (h: Held): boolean => h.status !== 'fetching' && h.status !== 'exited';
+
 export interface WorkerWorld {
   /** What the worker fetches of a task; undefined if it was never submitted. */
   facts(entry: string): TaskFacts | undefined;
@@ -105,7 +114,8 @@
 
   private dropAll(): void {
     for (const h of this.held.values()) {
-      if (h.status === 'running') this.world.left(this.machine.id, h.entry);
+      if (isOnMachine(h)) this.world.left(this.machine.id, h.entry);
+      if (h.member) this.world.facts(h.entry)?.gang?.leave(h.member);
     }
     this.held.clear();
   }
@@ -156,6 +166,7 @@
         try: h.try,
         status: h.status,
         ...(h.cause === undefined ? {} : { cause: h.cause }),
+        ...(h.kept === undefined ? {} : { kept: h.kept }),
       })),
     };
   }
@@ -230,15 +241,48 @@
     if (order.verb === 'launch') {
       if (!h) this.launch(order.entry, order.try, key);
     } else if (order.verb === 'kill') {
-      if (h && h.status !== 'exited') this.exit(h, 'halted');
+      if (h && h.status !== 'exited') this.stop(h, order.wind_down_s * 1000);
     } else if (h?.status === 'exited') this.held.delete(key);
   }
 
-  private exit(h: Held, cause: string): void {
-    if (h.status === 'running') this.world.left(this.machine.id, h.entry);
+  private stop(h: Held, graceMs: number): void {
+    const facts = this.world.facts(h.entry);
+    const saves = facts?.saveMs !== undefined && graceMs >= facts.saveMs;
+    if (h.status === 'flushing' && graceMs > 0) return;
+    if (h.status === 'running' && h.member && saves) facts.gang?.stop(h.member);
+    else this.exit(h, 'halted');
+  }
+
+  private exit(h: Held, cause: string, kept?: boolean): void {
+    if (isOnMachine(h)) this.world.left(this.machine.id, h.entry);
     h.status = 'exited';
     h.cause = cause;
+    if (kept) h.kept = true;
     this.wanted = true;
+    if (h.member) this.world.facts(h.entry)?.gang?.leave(h.member);
+  }
+
+  /** The task of a gang has its image: from now on it does what its gang does. */
+  private join(h: Held, gang: GangRun): void {
+    const change = (act: () => void): void => {
+      this.after(0, () => {
+        if (this.held.get(`${h.entry}#${h.try}`) === h && h.status !== 'exited') act();
+      });
+    };
+    const become = (status: Held['status']): void => {
+      h.status = status;
+      this.wanted = true;
+    };
+    h.member = {
+      index: Number(h.entry.split('/')[1]),
+      attempt: h.try,
+      isHung: () => this.hung,
+      run: () => change(() => become('running')),
+      saving: () => become('flushing'),
+      exit: (cause, kept) => change(() => this.exit(h, cause, kept)),
+    };
+    become('gathering');
+    gang.join(h.member);
   }
 
   private launch(entry: string, attempt: number, key: string): void {
@@ -263,9 +307,13 @@
     this.after(fetch, () => {
       if (!still()) return;
       this.images.add(facts.image);
+      this.world.started(this.machine.id, entry);
+      if (facts.gang) {
+        this.join(h, facts.gang);
+        return;
+      }
       h.status = 'running';
       this.wanted = true;
-      this.world.started(this.machine.id, entry);
       this.after(this.world.isCompleted(entry) ? 0 : facts.runMs, () => {
         if (!still()) return;
         this.world.completed(entry);
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -3,22 +3,18 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { defaultOperator } from '../../src/config/operator.js';
 import { parseSettings, type Settings } from '../../src/config/settings.js';
-import { Controller } from '../../src/node.js';
+import type { Controller } from '../../src/node.js';
 import type { Peer } from '../../src/peer/channel.js';
-import {
-  decodeRequest,
-  decodeResponse,
-  encodeRequest,
-  encodeResponse,
-} from '../../src/peer/messages.js';
 import type { Endpoint, NodeId } from '../../src/units/index.js';
 import { ms, type Random } from '../../src/units/index.js';
 import { decode, encode, type Flavor, type JobSpec } from '../../src/wire/index.js';
 import { spec } from '../support/jobs.js';
 import { settingsFile } from '../support/settings.js';
 import { Balancer } from './balancer.js';
+import { present, type Build } from './build.js';
 import { ProcessClock, VirtualTime } from './clock.js';
 import { Cloud, type Rented } from './cloud.js';
+import { GangRun } from './gang-run.js';
 import { Network } from './network.js';
 import { StateService } from './state.js';
 import { Worker, type WorkerWorld } from './worker.js';
@@ -62,6 +58,8 @@
   /** When the user was told that it is cancelled. */
   abortedAt: number | undefined;
   readonly completed: Set<number>;
+  /** What its tasks do together, if it is a gang. */
+  readonly gang: GangRun | undefined;
   /** When a question about it was last answered. */
   answeredAt: number;
   /** Since when it has waited beside a machine that has room for it. */
@@ -88,6 +86,10 @@
   readonly cpusMax?: number;
   /** The share of a processor that a controller counts on. */
   readonly cpu?: number;
+  /** The limits that the state service will have, as the settings tell them. */
+  readonly nextState?: { value_kb: number; txn_ops: number; write_rps: number };
+  /** The version that all controllers run until they are upgraded. */
+  readonly build?: Build;
 }
 
 /** Three whole controllers among stand-ins, on a virtual clock, with the rules checked as they run. */
@@ -107,6 +109,9 @@
   private readonly zones: readonly string[];
   private readonly cpusMax: number;
   private readonly cpu: number | undefined;
+  private readonly nextState: WorldOptions['nextState'];
+  /** What each controller runs when it is started next. */
+  private readonly builds = new Map<number, Build>();
   private readonly log: Logger;
   private jobCounter = 0;
   private readonly balancer: Balancer;
@@ -121,6 +126,8 @@
     this.zones = options.zones ?? ['a', 'b', 'c'];
     this.cpusMax = options.cpusMax ?? TEAM_CPUS;
     this.cpu = options.cpu;
+    this.nextState = options.nextState;
+    for (const n of [0, 1, 2]) this.builds.set(n, options.build ?? present);
     this.settings = this.settingsOf(0);
     // What goes wrong inside must not stay unseen behind a passing rule check.
     this.log = pino(
@@ -158,11 +165,18 @@
     this.watchRoom();
   }
 
-  private settingsOf(n: number): Settings {
+  private settingsOf(n: number, build = present): Settings {
     const file = settingsFile(n, this.zones);
     const teams = file.params.teams.map((t) => ({ ...t, cpus_max: this.cpusMax }));
     const limits = { ...file.params.limits, cpu: this.cpu ?? file.params.limits.cpu };
-    return parseSettings({ ...file, params: { ...file.params, teams, limits } });
+    const state = { ...file.params.state, next: this.nextState };
+    return build.parseSettings({ ...file, params: { ...file.params, teams, limits, state } });
+  }
+
+  /** The state service takes from now on what the settings announced. */
+  lowerStateLimits(): void {
+    const { next } = this.settings.state;
+    if (next) this.state.lower(next);
   }
 
   /** Machines that are there before anything is asked for. */
@@ -193,7 +207,8 @@
 
   startNode(n: number): void {
     if (this.nodes.has(n)) return;
-    const settings = this.settingsOf(n);
+    const build = this.builds.get(n) ?? present;
+    const settings = this.settingsOf(n, build);
     const clock = new ProcessClock(
       this.time,
       (this.random() - 0.5) * 0.0005,
@@ -202,9 +217,9 @@
     const api = settings.api;
     const http = this.network.client(settings.node, settings.area, clock);
     const peers = new Map<NodeId, Peer>(
-      settings.others.map((o) => [o.node, this.peer(http, clock, o.endpoint)]),
+      settings.others.map((o) => [o.node, this.peer(build, http, clock, o.endpoint)]),
     );
-    const controller = new Controller(settings, defaultOperator, {
+    const controller = new build.Controller(settings, defaultOperator, {
       clock,
       random: this.random,
       http,
@@ -221,32 +236,44 @@
       return Buffer.isBuffer(reply.body) ? { ...reply, body: decode(reply.body) } : reply;
     });
     this.network.attach(settings.cluster, settings.area, async (_method, _path, body) => {
-      const { id, message } = decodeRequest(Buffer.from((body as Framed).frame, 'base64'));
+      const { id, message } = build.decodeRequest(Buffer.from((body as Framed).frame, 'base64'));
       const response = await controller.peers.handle(message);
-      return { status: 200, body: framed(encodeResponse(id, response)) };
+      return { status: 200, body: framed(build.encodeResponse(id, response)) };
     });
     this.nodes.set(n, { clock, controller });
     controller.start();
   }
 
-  private peer(http: ReturnType<Network['client']>, clock: ProcessClock, endpoint: Endpoint): Peer {
+  private peer(
+    build: Build,
+    http: ReturnType<Network['client']>,
+    clock: ProcessClock,
+    endpoint: Endpoint,
+  ): Peer {
     let silentUntil = 0;
     return {
       get responsive() {
         return clock.steady() >= silentUntil;
       },
       ask: async (request, timeout) => {
-        const body = framed(encodeRequest(1, request));
+        const body = framed(build.encodeRequest(1, request));
         const o = await http.send({ endpoint, method: 'POST', path: '/', body, timeout });
         if (o.kind !== 'answer') {
           silentUntil = clock.steady() + 2000;
           return undefined;
         }
-        return decodeResponse(Buffer.from((o.body as Framed).frame, 'base64')).message;
+        return build.decodeResponse(Buffer.from((o.body as Framed).frame, 'base64')).message;
       },
     };
   }
 
+  /** It ends, and comes back with this version after a while. */
+  upgradeNode(n: number, back: number): void {
+    this.killNode(n);
+    this.builds.set(n, present);
+    this.time.after(back, () => this.startNode(n));
+  }
+
   /** Killed without a signal: nothing of it runs on, what it sent may still arrive. */
   killNode(n: number): void {
     const p = this.nodes.get(n);
@@ -391,13 +418,22 @@
   /** Of the jobs that end from now on, so large a share is called off at that very moment. */
   cancelAtEnd = 0;
 
-  private cancel(id: string, job: Known): void {
-    if (job.abortAsked) return;
+  /** Its user calls the job off. */
+  cancel(id: string, job = this.jobs.get(id)): void {
+    if (!job || job.abortAsked) return;
     job.abortAsked = true;
     this.keepAborting(id, job);
   }
 
-  private machinesOf(job: string): string[] {
+  /** The machines that know of a task of a job, with its image or not. */
+  placedOn(job: string): string[] {
+    return [...this.workers]
+      .filter(([, { worker }]) => worker.alive().some((e) => e.startsWith(`${job}/`)))
+      .map(([id]) => id);
+  }
+
+  /** The machines that a job's tasks are on. */
+  machinesOf(job: string): string[] {
     const out: string[] = [];
     for (const [e, on] of this.where) if (e.startsWith(`${job}/`)) out.push(...on);
     return out;
@@ -444,6 +480,8 @@
       runMs: t.job.runMs,
       fetchMs: t.job.spec.size_gb * 2000,
       image: t.job.spec.bundle,
+      saveMs: t.job.spec.stamp_every_s > 0 ? t.job.spec.stamp_s * 1000 : undefined,
+      gang: t.job.gang,
     };
   }
 
@@ -532,20 +570,25 @@
     if (this.isOver(job) || !job.accepted || job.abortAsked) return false;
     const most = this.settings.teams.get(s.desk)?.cpusMax ?? 0;
     let used = 0;
-    let room = false;
+    // How many of its tasks the machines have room for, by zone.
+    const room = new Map<string, number>();
     for (const { worker, machine } of this.workers.values()) {
       for (const e of worker.alive()) {
         if (e.startsWith(`${id}/`)) return false;
         used += this.parse(e)?.job.spec.vcpus ?? 0;
       }
-      room ||=
+      const fits =
         worker.recallAt === undefined &&
-        worker.free() >= s.vcpus &&
         (s.builds === null || s.builds.includes(machine.build)) &&
         (s.hall === null || s.hall === machine.hall) &&
         (s.loaners || !machine.spot);
+      if (!fits) continue;
+      const zone = job.gang && s.together ? machine.hall : '';
+      room.set(zone, (room.get(zone) ?? 0) + Math.floor(worker.free() / s.vcpus));
     }
-    return room && (most <= 0 || used + s.vcpus <= most);
+    const least = job.gang ? s.entries : 1;
+    const best = Math.max(0, ...room.values());
+    return best >= least && (most <= 0 || used + least * s.vcpus <= most);
   }
 
   private watchRoom(): void {
@@ -627,8 +670,10 @@
   /** A user's job from its submission to its end; `abortAfter`: cancels it then. */
   submit(change: Partial<JobSpec>, runMs: number, abortAfter?: number): string {
     const id = `run-${String(++this.jobCounter).padStart(6, '0')}`;
+    const submitted = spec({ ...change, name_id: id });
     const job: Known = {
-      spec: spec({ ...change, name_id: id }),
+      spec: submitted,
+      gang: submitted.shape === 'ensemble' ? this.gangOf(submitted, runMs) : undefined,
       runMs,
       accepted: false,
       told: 'pending',
@@ -647,6 +692,27 @@
     return id;
   }
 
+  private gangOf(s: JobSpec, runMs: number): GangRun {
+    const facts = {
+      entries: s.entries,
+      runMs,
+      saveEveryMs: s.stamp_every_s * 1000,
+      saveMs: s.stamp_s * 1000,
+    };
+    const { gang_wait_s: wait, gang_peer_s: peer } = settingsFile(0).params.workers;
+    return new GangRun(
+      this.time,
+      facts,
+      { waitMs: wait * 1000, peerMs: peer * 1000 },
+      {
+        completed: () => {
+          for (let i = 0; i < s.entries; i++) this.completed(`${s.name_id}/${i}`);
+        },
+        broken: (what) => this.rule('gang', `${s.name_id}: ${what}`),
+      },
+    );
+  }
+
   private keepSubmitting(id: string, job: Known): void {
     void this.ask('POST', '/v1/jobs', job.spec, 5000, job).then((o) => {
       if (o?.status === 201 || o?.status === 200) {
--- /dev/null
+++ b/test/unit/compatibility.test.ts
@@ -0,0 +1,98 @@
+/** What the version in production sends and stores, as `tools/record-production.mjs` recorded it from that version. */
+import assert from 'node:assert/strict';
+import { readFileSync } from 'node:fs';
+import { test } from 'node:test';
+import {
+  decodeJob,
+  encodeFinal,
+  encodeJob,
+  encodeJobCompactly,
+  markOf,
+} from '../../src/ledger/codec.js';
+import { RecordLimits } from '../../src/ledger/record-limits.js';
+import {
+  decodeRequest,
+  decodeResponse,
+  encodeRequest,
+  encodeResponse,
+  type PeerRequest,
+  type PeerResponse,
+} from '../../src/peer/messages.js';
+import { Epoch, JobId, Revision, SteadyMs } from '../../src/units/index.js';
+
+interface RecordedMessage {
+  readonly id: number;
+  readonly message: { readonly type: string; readonly body?: string };
+  readonly bytes: string;
+}
+
+interface Recorded {
+  readonly requests: readonly RecordedMessage[];
+  readonly responses: readonly RecordedMessage[];
+  readonly records: readonly {
+    readonly name: string;
+    readonly live: { readonly e: number; readonly v: number };
+    readonly final: unknown;
+  }[];
+}
+
+const production = JSON.parse(
+  readFileSync('test/data/production.json', 'utf8'),
+) as unknown as Recorded;
+
+const withBody = ({ message }: RecordedMessage): unknown =>
+  message.body === undefined ? message : { ...message, body: Buffer.from(message.body, 'hex') };
+const asJson = (value: unknown): unknown => JSON.parse(JSON.stringify(value));
+
+void test('messages between nodes are, byte for byte, those of the version in production', () => {
+  assert.equal(production.requests.length, 9);
+  for (const recorded of production.requests) {
+    const message = withBody(recorded) as PeerRequest;
+    const bytes = encodeRequest(recorded.id, message);
+    assert.equal(bytes.toString('hex'), recorded.bytes, message.type);
+    const back = decodeRequest(Buffer.from(recorded.bytes, 'hex'));
+    assert.deepEqual(asJson(back.message), asJson(message));
+  }
+  assert.equal(production.responses.length, 6);
+  for (const recorded of production.responses) {
+    const message = withBody(recorded) as PeerResponse;
+    const bytes = encodeResponse(recorded.id, message);
+    assert.equal(bytes.toString('hex'), recorded.bytes, message.type);
+    const back = decodeResponse(Buffer.from(recorded.bytes, 'hex'));
+    assert.deepEqual(asJson(back.message), asJson(message));
+  }
+});
+
+void test('records of the version in production are read, and written as it writes them', () => {
+  const limits = new RecordLimits({
+    rps: 80,
+    writeRps: 15,
+    valueBytes: 8192,
+    txnOps: 8,
+    next: { rps: 80, writeRps: 15, valueBytes: 2048, txnOps: 4 },
+  });
+  const lowered = new RecordLimits({
+    rps: 80,
+    writeRps: 15,
+    valueBytes: 8192,
+    txnOps: 8,
+    next: { rps: 80, writeRps: 15, valueBytes: 2048, txnOps: 4 },
+  });
+  lowered.noteRefusal();
+  assert.equal(production.records.length, 7);
+  for (const { name, live, final } of production.records) {
+    const id = JobId('run-000412');
+    const job = decodeJob(id, live, Revision(9), SteadyMs(0));
+    job.version = live.v;
+    assert.deepEqual(asJson(encodeJob(job, Epoch(live.e))), live, name);
+    assert.deepEqual(asJson(limits.encode(job, Epoch(live.e)).record), live, `${name}: no change`);
+    if (final !== null) assert.deepEqual(asJson(encodeFinal(job.final())), final, name);
+    assert.deepEqual(markOf(live), { epoch: live.e, version: live.v });
+    // The same facts in the format to come, and within the limits to come.
+    const compact = asJson(encodeJobCompactly(job, Epoch(live.e)));
+    const back = decodeJob(id, compact, Revision(9), SteadyMs(0));
+    back.version = live.v;
+    assert.deepEqual(asJson(encodeJob(back, Epoch(live.e))), live, `${name}: compact`);
+    assert.ok(lowered.encode(job, Epoch(live.e)).bytes <= 2048, `${name}: too large`);
+  }
+});
--- a/test/unit/placer.test.ts
+++ b/test/unit/placer.test.ts
@@ -152,6 +152,66 @@
   assert.equal(place([gang], [host('m1'), host('m2')], new Map(), 10).length, 5);
 });
 
+void test('a gang that must be in one zone goes where all of it fits, and starts soonest', () => {
+  const small: Size = { cpus: 4, gpus: 0, ramGb: 32 };
+  const gang = want('g', 4, { whole: true, together: true });
+  const cases: [name: string, hosts: Host[], team: number | undefined, zone: string | undefined][] =
+    [
+      [
+        'the best machine is alone in its zone',
+        [host('m1', { images: ['img'], free: small }), host('m2', { hall: 'b' })],
+        undefined,
+        'b',
+      ],
+      [
+        'one zone has to fetch the image for a part',
+        [
+          host('m1', { images: ['img'], free: small }),
+          host('m2', { free: small }),
+          host('m3', { hall: 'b', images: ['img'], rate: 9 }),
+        ],
+        undefined,
+        'b',
+      ],
+      [
+        'room for half of it in each',
+        [host('m1', { free: small }), host('m2', { hall: 'b', free: small })],
+        undefined,
+        undefined,
+      ],
+      ['its team may start half of it', [host('m1')], 4, undefined],
+      ['its team may start all of it', [host('m1')], 8, 'a'],
+    ];
+  for (const [name, hosts, team, zone] of cases) {
+    const teams = new Map(team === undefined ? [] : [['t', { cpus: team, gpus: Infinity }]]);
+    const placed = place([gang], hosts, teams, 100);
+    const zones = new Set(placed.map((a) => hosts.find((h) => h.id === a.machine)?.hall));
+    assert.deepEqual([...zones], zone === undefined ? [] : [zone], name);
+    assert.equal(placed.length, zone === undefined ? 0 : 4, name);
+    if (team !== undefined && zone === undefined) assert.equal(teams.get('t')?.cpus, team, name);
+  }
+});
+
+void test('machines are kept for a gang that finds no room, in one zone, if they could ever hold it', () => {
+  const free: Size = { cpus: 4, gpus: 0, ramGb: 32 };
+  const hosts = [
+    host('m1', { free }),
+    host('m2', { hall: 'b', free }),
+    host('m3', { hall: 'b', free: { ...free, cpus: 2 } }),
+    host('m4', { hall: 'b', free: { ...free, cpus: 0 } }),
+  ];
+  const cases: [name: string, count: number, left: string[]][] = [
+    ['it could have all of one machine', 4, ['m1', 'm1', 'm3']],
+    ['it could have two of the other zone', 8, ['m1', 'm1']],
+    ['no zone is large enough', 13, ['m1', 'm1', 'm2', 'm2', 'm3']],
+  ];
+  for (const [name, count, left] of cases) {
+    const gang = want('g', count, { whole: true, together: true });
+    const later = place([gang, want('o', 9)], hosts, new Map(), 100);
+    assert.deepEqual(later.map((a) => a.machine).sort(), left, name);
+  }
+});
+
 void test('no placement breaks capacity, a limit, a zone rule or the kinds allowed', () => {
   const size = fc.record({
     cpus: fc.integer({ min: 1, max: 9 }),
