--- a/eslint.config.js
+++ b/eslint.config.js
@@ -82,6 +82,8 @@
     languageOptions: {
       globals: {
         process: 'readonly',
+        console: 'readonly',
+        Buffer: 'readonly',
         require: 'readonly',
         __dirname: 'readonly',
         URL: 'readonly',
--- a/test/unit/orders.test.ts
+++ b/test/unit/orders.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { pino } from 'pino';
 import { parseSettings } from '../../src/config/settings.js';
-import { leaseEnd, toReport } from '../../src/fleet/machine.js';
+import { attemptKey, leaseEnd, toReport } from '../../src/fleet/machine.js';
 import type { Board } from '../../src/leader/board.js';
 import type { TermDeps } from '../../src/leader/deps.js';
 import { Orders } from '../../src/leader/orders.js';
@@ -96,3 +96,37 @@
     if (renewed) assert.ok(m.expires >= lease * 2, name);
   }
 });
+
+void test('an attempt that is to be stopped is not started any more', () => {
+  const cases: [name: string, evicted: boolean, inDoubt: boolean, verbs: string[]][] = [
+    ['wanted there', false, false, ['launch']],
+    ['given up before it was told', true, false, []],
+    ['given up, and its start may yet arrive: used up', true, true, ['launch', 'kill']],
+  ];
+  for (const [name, evicted, inDoubt, verbs] of cases) {
+    const clock = new ProcessClock(new VirtualTime(), 0, 0);
+    const fleet = emptyFleet(parseSettings(settingsFile()).workers.lease);
+    const m = fleet.meet(id, { build: 'small', hall: 'a', spot: true }, beat.addr);
+    const job = new Job(JobId('run-000001'), spec({ entries: 1 }), WallMs(0), Revision(1));
+    job.place([{ index: 0, machine: id }], clock.steady());
+    job.committed = job.version;
+    const placed = job.placed.get(0);
+    assert.ok(placed);
+    if (evicted) placed.evict = 0;
+    const key = taskKey(job.id, 0);
+    fleet.assign(id, key, {
+      job: job.id,
+      index: 0,
+      attempt: placed.attempt,
+      size: { cpus: 2, gpus: 0, ramGb: 4 },
+      image: 'x',
+      placedAt: clock.steady(),
+    });
+    if (inDoubt) m.doubts.add(attemptKey(key, placed.attempt));
+    const board = { fleet, ledger: { jobs: new Map([[job.id, job]]) } };
+    const deps = { clock } as unknown as TermDeps;
+    const orders = new Orders(epoch, board as unknown as Board, deps, () => undefined);
+    const told = orders.answer(m, toReport(beat)).map((o) => o.verb);
+    assert.deepEqual(told, verbs, name);
+  }
+});
