--- a/src/api/worker-reports.ts
+++ b/src/api/worker-reports.ts
@@ -17,6 +17,7 @@
   type NodeId,
   type SteadyMs,
 } from '../units/index.js';
+import { ExpiringMap } from '../units/expiring-map.js';
 import { Beat, decode } from '../wire/index.js';
 import type { Leadership } from './leadership.js';
 import { NOT_AUTHORISED, type Reply } from './reply.js';
@@ -34,7 +35,6 @@
 const REDIRECT_BOUNCE = seconds(9);
 /** For so long such a worker is served here. */
 const SERVED_AFTER_BOUNCE = seconds(20);
-const MAX_REDIRECTS_KEPT = 4000;
 const REDIRECT_FORGOTTEN = seconds(60);
 
 interface Redirect {
@@ -46,7 +46,7 @@
 const BASELINE_UNKNOWN: ReportResponse = { outcome: 'baselineUnknown', baseline: 0, orders: [] };
 
 export class WorkerReports {
-  private readonly redirects = new Map<MachineId, Redirect>();
+  private readonly redirects = new ExpiringMap<MachineId, Redirect>(REDIRECT_FORGOTTEN);
   /** Since when the leader that we know of has not answered us. */
   private leaderSilentSince: SteadyMs | undefined;
 
@@ -171,17 +171,9 @@
       redirect.servedUntil ??= later(now, SERVED_AFTER_BOUNCE);
       return true;
     }
-    this.redirects.set(id, { at: now, servedUntil: undefined });
-    this.forgetRedirects(now);
+    this.redirects.set(id, { at: now, servedUntil: undefined }, now);
     return false;
   }
-
-  private forgetRedirects(now: SteadyMs): void {
-    if (this.redirects.size <= MAX_REDIRECTS_KEPT) return;
-    for (const [id, { at }] of this.redirects) {
-      if (since(at, now) > REDIRECT_FORGOTTEN) this.redirects.delete(id);
-    }
-  }
 }
 
 const isServedHere = ({ at, servedUntil }: Redirect, now: SteadyMs): boolean =>
--- a/src/relay/report-relay.ts
+++ b/src/relay/report-relay.ts
@@ -13,6 +13,7 @@
   type NodeId,
   type SteadyMs,
 } from '../units/index.js';
+import { ExpiringMap } from '../units/expiring-map.js';
 import type { Beat, BeatReply, Entry } from '../wire/index.js';
 
 /** What comes within this time goes in one batch; the first after a pause goes at once. */
@@ -38,15 +39,13 @@
 const FAST_RESPONSE = ms(300);
 /** Nobody waits any more for the answer to a report that came longer ago: workers give up after 4 s. */
 const ABANDONED_AFTER = ms(3500);
-/** Baselines of machines that went elsewhere are dropped now and then. */
-const MAX_BASELINES = 4000;
+/** Baselines of machines that went elsewhere are dropped after a while. */
 const BASELINE_IDLE = ms(30_000);
 
 /** The report that the leader took last from a machine through this node. */
 interface Baseline {
   readonly id: number;
   readonly report: Beat;
-  readonly at: SteadyMs;
 }
 
 interface PendingReport {
@@ -62,7 +61,7 @@
 
 export class ReportRelay {
   private pending: PendingReport[] = [];
-  private readonly baselines = new Map<string, Baseline>();
+  private baselines = new ExpiringMap<string, Baseline>(BASELINE_IDLE);
   /** The epoch under which the baselines were given. */
   private epoch = 0;
   private scheduled = false;
@@ -156,7 +155,7 @@
       return;
     }
     if (response.epoch !== this.epoch) {
-      this.baselines.clear();
+      this.baselines = new ExpiringMap(BASELINE_IDLE);
       this.epoch = response.epoch;
     }
     for (const [i, p] of batch.entries()) {
@@ -188,12 +187,7 @@
       this.baselines.delete(report.box);
       return;
     }
-    const now = this.clock.steady();
-    this.baselines.set(report.box, { id: baseline, report, at: now });
-    if (this.baselines.size <= MAX_BASELINES) return;
-    for (const [machine, { at }] of this.baselines) {
-      if (since(at, now) > BASELINE_IDLE) this.baselines.delete(machine);
-    }
+    this.baselines.set(report.box, { id: baseline, report }, this.clock.steady());
   }
 
   private relayed({ report, full }: PendingReport): RelayedReport {
