Names: reports have session, sequence, token and tasks; machines a type and a zone

The protocol's words for these stay in src/wire and where messages are made. The placer's property now also plays gangs: all or none of one is placed.

--- a/src/capacity/keeper.ts
+++ b/src/capacity/keeper.ts
@@ -62,8 +62,8 @@
 
 const demandOf = (spec: JobSpec): Omit<Demand, 'count' | 'patience' | 'slack'> => ({
   size: sizeOfSpec(spec),
-  builds: spec.builds,
-  hall: spec.hall,
+  types: spec.builds,
+  onlyZone: spec.hall,
   spot: spec.loaners,
   run: ms(spec.expected_s * 1000),
   isGang: isGang(spec),
@@ -166,8 +166,8 @@
     if (want) {
       const hire: Hire = {
         hire: `e${this.epoch}-${++this.counter}`,
-        build: want.build,
-        hall: want.hall,
+        build: want.type,
+        hall: want.zone,
         loaners: want.spot,
         how_many: Math.min(want.count, MAX_HIRE),
       };
@@ -197,7 +197,7 @@
   private async hire(hire: Hire): Promise<boolean> {
     const result = await this.cloud.hire(hire);
     const now = this.deps.clock.steady();
-    const offer = { build: hire.build, hall: hire.hall, spot: hire.loaners };
+    const offer = { type: hire.build, zone: hire.hall, spot: hire.loaners };
     switch (result.kind) {
       case 'hired': {
         this.pending = undefined;
@@ -290,7 +290,7 @@
     const coming: Coming[] = [];
     const working = new Map<string, { offer: Offer; total: Size; busy: number; work: number }>();
     for (const m of this.machines.values()) {
-      const f = this.catalog.flavor(m.place.build);
+      const f = this.catalog.flavor(m.place.type);
       if (!f || m.draining || m.deleteSent || m.isGhost(this.epoch, now)) continue;
       const total = sizeOfFlavor(f);
       if (!m.up) {
@@ -347,14 +347,14 @@
     for (const m of dearFirst) {
       if (!m.up || m.assigned.size > 0 || m.idleSince === undefined) continue;
       // Keeping it costs as much as its boot would: after that it is cheaper to rent another.
-      const ready = (this.catalog.flavor(m.place.build)?.ready_s ?? 0) * 1000;
+      const ready = (this.catalog.flavor(m.place.type)?.ready_s ?? 0) * 1000;
       const patience = ready * this.deps.operator.idleBoots * (m.place.spot ? 1 : DEAR_IDLE_SHARE);
       if (since(m.idleSince, now) < patience) continue;
       if (m.rentedAt !== undefined && since(m.rentedAt, now) < LEAST_CHARGE) continue;
       const load = this.view.fleet.load(m);
       if (load.unknown || load.used.cpus > 0) continue;
       // Giving it back must not take the room that stands by for urgent work.
-      const cpus = this.catalog.flavor(m.place.build)?.vcpus ?? 0;
+      const cpus = this.catalog.flavor(m.place.type)?.vcpus ?? 0;
       if (this.isSmallest(cpus)) {
         if (spare.any < cpus || (!m.place.spot && spare.ordinary < cpus)) continue;
         spare.any -= cpus;
@@ -376,7 +376,7 @@
   private spareCpus(): { any: number; ordinary: number } {
     const spare = { any: 0, ordinary: 0 };
     for (const m of this.machines.values()) {
-      const cpus = this.catalog.flavor(m.place.build)?.vcpus ?? 0;
+      const cpus = this.catalog.flavor(m.place.type)?.vcpus ?? 0;
       if (!m.up || m.draining || !this.isSmallest(cpus)) continue;
       const load = this.view.fleet.load(m);
       const free = cpus - (load.unknown ? cpus : load.used.cpus);
@@ -425,7 +425,7 @@
   private take(id: MachineId, box: Box, now: SteadyMs): void {
     const m = this.view.fleet.meet(
       id,
-      { build: box.build, hall: box.hall, spot: box.loaners },
+      { type: box.build, zone: box.hall, spot: box.loaners },
       box.addr,
     );
     m.listedAt ??= now;
--- a/src/capacity/lost-machines.ts
+++ b/src/capacity/lost-machines.ts
@@ -63,7 +63,7 @@
 
 function isBootLost(m: Machine, { now, bootTime }: SilenceView): boolean {
   if (m.bootingSince === undefined) return false;
-  return since(m.bootingSince, now) > bootTime(m.place.build) * BOOT_LOST;
+  return since(m.bootingSince, now) > bootTime(m.place.type) * BOOT_LOST;
 }
 
 /** How long it has been silent; undefined if it was never to be heard yet. */
@@ -98,15 +98,15 @@
   private readonly heard = new Map<string, number>();
 
   count({ place }: Machine): void {
-    this.total.set(place.hall, (this.total.get(place.hall) ?? 0) + 1);
+    this.total.set(place.zone, (this.total.get(place.zone) ?? 0) + 1);
   }
 
   countHeard({ place }: Machine): void {
-    this.heard.set(place.hall, (this.heard.get(place.hall) ?? 0) + 1);
+    this.heard.set(place.zone, (this.heard.get(place.zone) ?? 0) + 1);
   }
 
   isMostlyHeard({ place }: Machine): boolean {
-    return 2 * (this.heard.get(place.hall) ?? 0) > (this.total.get(place.hall) ?? 0);
+    return 2 * (this.heard.get(place.zone) ?? 0) > (this.total.get(place.zone) ?? 0);
   }
 }
 
--- a/src/capacity/planner.ts
+++ b/src/capacity/planner.ts
@@ -9,19 +9,19 @@
  * new machines, each of the offer that serves the task at the least cost.
  */
 export interface Offer {
-  readonly build: string;
-  readonly hall: string;
+  readonly type: string;
+  readonly zone: string;
   readonly spot: boolean;
 }
 
-export const offerKey = (o: Offer): string => `${o.build}|${o.hall}|${o.spot ? 'spot' : 'plain'}`;
+export const offerKey = (o: Offer): string => `${o.type}|${o.zone}|${o.spot ? 'spot' : 'plain'}`;
 
 /** Waiting tasks of one job, or urgent ones that may be submitted next. */
 export interface Demand {
   readonly size: Size;
   readonly count: number;
-  readonly builds: readonly string[] | null;
-  readonly hall: string | null;
+  readonly types: readonly string[] | null;
+  readonly onlyZone: string | null;
   readonly spot: boolean;
   /** All of it runs at once or none does; `together`: in one zone. */
   readonly isGang: boolean;
@@ -177,20 +177,21 @@
   flavors: readonly Flavor[],
   refused: ReadonlySet<string>,
 ): Demand[] {
-  if (!d.isGang || d.hall !== null || !(d.together || d.apart)) return [d];
+  if (!d.isGang || d.onlyZone !== null || !(d.together || d.apart)) return [d];
   const most = d.together ? d.count : Math.ceil(d.count / 2);
   const zones = zonesByRoom(d, bins, flavors);
   // Where there is no room for its part, machines must be to be had.
   const useful = zones.filter(
-    ({ hall, tasks }) =>
-      tasks >= most || cheapest({ ...d, hall }, most, true, flavors, refused) !== undefined,
+    ({ zone, tasks }) =>
+      tasks >= most ||
+      cheapest({ ...d, onlyZone: zone }, most, true, flavors, refused) !== undefined,
   );
   const parts: Demand[] = [];
   let left = d.count;
-  for (const { hall } of useful.length > 0 ? useful : zones) {
+  for (const { zone } of useful.length > 0 ? useful : zones) {
     if (left === 0) break;
     const count = Math.min(left, most);
-    parts.push({ ...d, hall, count });
+    parts.push({ ...d, onlyZone: zone, count });
     left -= count;
   }
   return parts;
@@ -201,20 +202,20 @@
   d: Demand,
   bins: readonly Bin[],
   flavors: readonly Flavor[],
-): { hall: string; tasks: number }[] {
+): { zone: string; tasks: number }[] {
   const room = new Map<string, number>();
   for (const flavor of flavors) {
-    for (const hall of flavor.halls) {
-      const offer = { build: flavor.name, hall, spot: false };
-      if (fits(d.size, sizeOfFlavor(flavor)) && allows(d, offer)) room.set(hall, 0);
+    for (const zone of flavor.halls) {
+      const offer = { type: flavor.name, zone, spot: false };
+      if (fits(d.size, sizeOfFlavor(flavor)) && allows(d, offer)) room.set(zone, 0);
     }
   }
   for (const bin of bins) {
     if (!allows(d, bin.offer)) continue;
-    const { hall } = bin.offer;
-    room.set(hall, (room.get(hall) ?? 0) + Math.max(0, perMachine(bin, d.size)));
+    const { zone } = bin.offer;
+    room.set(zone, (room.get(zone) ?? 0) + Math.max(0, perMachine(bin, d.size)));
   }
-  return [...room].sort((a, b) => b[1] - a[1]).map(([hall, tasks]) => ({ hall, tasks }));
+  return [...room].sort((a, b) => b[1] - a[1]).map(([zone, tasks]) => ({ zone, tasks }));
 }
 
 function cheapest(
@@ -230,9 +231,9 @@
     const size = sizeOfFlavor(flavor);
     if (!fits(d.size, size)) continue;
     const slow = pressing && flavor.ready_s * seconds(1) > d.slack ? TOO_SLOW : 1;
-    for (const hall of flavor.halls) {
+    for (const zone of flavor.halls) {
       for (const spot of [true, false]) {
-        const offer = { build: flavor.name, hall, spot };
+        const offer = { type: flavor.name, zone, spot };
         if (!allows(d, offer) || refused.has(offerKey(offer))) continue;
         if (!spot && d.spot && !pressing) continue;
         const price = spot ? flavor.spot_price : flavor.rate;
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -49,9 +49,9 @@
   }
 
   meet(id: MachineId, place: Place, addr: string): Machine {
-    const cache = this.deps.cacheOf(place.build);
+    const cache = this.deps.cacheOf(place.type);
     const m = this.known(id, place);
-    if (m.place.build === '') m.place = place;
+    if (m.place.type === '') m.place = place;
     if (cache !== undefined && !m.hinted) {
       m.hinted = true;
       m.images.resize(cache);
@@ -73,7 +73,7 @@
 
   /** A record places it there. */
   assign(id: MachineId, key: TaskKey, task: Assigned): void {
-    this.known(id, { build: '', hall: '', spot: true }).assign(key, task);
+    this.known(id, { type: '', zone: '', spot: true }).assign(key, task);
   }
 
   release(id: MachineId, key: TaskKey, attempt: number): void {
--- a/src/fleet/machine.ts
+++ b/src/fleet/machine.ts
@@ -40,20 +40,27 @@
   readonly fetching: ReadonlySet<string>;
 }
 
+/** What kind of machine it is, and where. */
 export interface Place {
-  readonly build: string;
-  readonly hall: string;
+  readonly type: string;
+  readonly zone: string;
   readonly spot: boolean;
 }
 
-/** A worker's report, wherever it came from, in the order that (`shift`, `tally`) gives. */
-export interface Report {
-  readonly shift: number;
-  readonly tally: number;
-  readonly baton: number;
-  readonly recall: DurationMs | undefined;
-  readonly entries: readonly Entry[];
-  /** The entries by attempt, so that each is found without a look at all. */
+/** Which of two messages of a worker is the newer one. */
+export interface MessageOrder {
+  readonly session: number;
+  readonly sequence: number;
+}
+
+/** A worker's report, wherever it came from. */
+export interface Report extends MessageOrder {
+  /** The highest fencing token that the worker has seen. */
+  readonly token: number;
+  /** How long until the cloud takes the machine away, if it has said so. */
+  readonly notice: DurationMs | undefined;
+  readonly tasks: readonly Entry[];
+  /** The tasks by attempt, so that each is found without a look at all. */
   readonly byAttempt: ReadonlyMap<string, Entry>;
   /** By which a follower refers to it when a later report shows the same; none if it came another way. */
   readonly baseline?: number;
@@ -64,11 +71,11 @@
 export const toReport = (
   b: Pick<Beat, 'shift' | 'tally' | 'baton' | 'recall_s' | 'entries'>,
 ): Report => ({
-  shift: b.shift,
-  tally: b.tally,
-  baton: b.baton,
-  recall: b.recall_s === null || b.recall_s === undefined ? undefined : ms(b.recall_s * 1000),
-  entries: b.entries,
+  session: b.shift,
+  sequence: b.tally,
+  token: b.baton,
+  notice: b.recall_s === null || b.recall_s === undefined ? undefined : ms(b.recall_s * 1000),
+  tasks: b.entries,
   byAttempt: new Map(b.entries.map((e) => [attemptKey(e.entry, e.try), e])),
 });
 
@@ -82,7 +89,7 @@
   reportsThrough: NodeId | undefined;
   report: Report | undefined;
   /** Sessions before this one are certainly over; what they send is stale. */
-  leastShift = 0;
+  leastSession = 0;
   /** Heard from under this epoch, and not given up since. */
   up = false;
   lastHeard: SteadyMs | undefined;
@@ -162,7 +169,7 @@
   }
 
   isNewer(r: Report): boolean {
-    return r.shift >= this.leastShift && (!this.report || isAfter(r, this.report));
+    return r.session >= this.leastSession && (!this.report || isAfter(r, this.report));
   }
 
   /** Takes a report in; false if it is older than what we know. */
@@ -172,16 +179,16 @@
       return false;
     }
     // A new session has dropped the tasks of the old one and refuses its commands.
-    if (this.report && r.shift > this.report.shift) this.fenced();
+    if (this.report && r.session > this.report.session) this.fenced();
     this.report = r;
     this.loaded = undefined;
     this.up = true;
     this.lastHeard = now;
     this.bootingSince = undefined;
     // By the newest word alone: a late copy may have shown a notice that is not this machine's any more.
-    if (r.recall === undefined) this.recallAt = undefined;
+    if (r.notice === undefined) this.recallAt = undefined;
     else {
-      const at = later(now, r.recall);
+      const at = later(now, r.notice);
       if (this.recallAt === undefined || at < this.recallAt) this.recallAt = at;
     }
     return true;
@@ -193,7 +200,7 @@
    */
   reborn(r: Report, now: SteadyMs): void {
     this.report = undefined;
-    this.leastShift = r.shift;
+    this.leastSession = r.session;
     this.take(r, now);
   }
 
@@ -215,7 +222,7 @@
 
   /** The lease has certainly expired: the session is over, with all its tasks. */
   expire(): void {
-    if (this.report) this.leastShift = this.report.shift + 1;
+    if (this.report) this.leastSession = this.report.session + 1;
     this.report = undefined;
     this.loaded = undefined;
     this.up = false;
@@ -230,7 +237,7 @@
 
   /** Heard of only by reports from before an epoch, which may be late copies from a machine long gone. */
   isUnsure(epoch: Epoch): boolean {
-    return this.report !== undefined && this.report.baton < epoch;
+    return this.report !== undefined && this.report.token < epoch;
   }
 
   /** Unsure, and not there when it was told something. */
@@ -245,11 +252,8 @@
 }
 
 /** Which of two messages of a worker is the newer one. */
-export function isAfter(
-  a: { readonly shift: number; readonly tally: number },
-  b: { readonly shift: number; readonly tally: number },
-): boolean {
-  return a.shift > b.shift || (a.shift === b.shift && a.tally > b.tally);
+export function isAfter(a: MessageOrder, b: MessageOrder): boolean {
+  return a.session > b.session || (a.session === b.session && a.sequence > b.sequence);
 }
 
 /** What may be on a machine: all that records place there, and all that it reports beside. */
@@ -270,7 +274,7 @@
     const e = m.report?.byAttempt.get(attemptKey(key, a.attempt));
     if (!e || e.status === 'fetching') fetching.add(a.image);
   }
-  for (const e of m.report?.entries ?? []) {
+  for (const e of m.report?.tasks ?? []) {
     if (e.status === 'exited') continue;
     const ref = parseTaskKey(e.entry);
     if (ref && m.assigned.get(taskKey(ref.job, ref.index))?.attempt === e.try) continue;
@@ -298,7 +302,7 @@
   attempt: number,
   how: {
     readonly inherited: boolean;
-    readonly sent: { readonly shift: number; readonly tally: number } | undefined;
+    readonly sent: MessageOrder | undefined;
   },
   doubts: ReadonlySet<string>,
   epoch: Epoch,
@@ -307,10 +311,10 @@
   const e = report.byAttempt.get(own);
   if (e && e.status !== 'exited') return false;
   if (doubts.has(own)) return false;
-  if (how.inherited && report.baton < epoch) return false;
+  if (how.inherited && report.token < epoch) return false;
   if (how.sent) {
-    if (report.shift > how.sent.shift) return true;
-    return beat && report.tally > how.sent.tally;
+    if (report.session > how.sent.session) return true;
+    return beat && report.sequence > how.sent.sequence;
   }
   return true;
 }
--- a/src/leader/dispatch.ts
+++ b/src/leader/dispatch.ts
@@ -125,7 +125,7 @@
     }
     if (job.spec.together) {
       const first = tasks[0] && this.machines.get(tasks[0].machine);
-      job.zone = first?.place.hall;
+      job.zone = first?.place.zone;
     }
     this.deps.log.debug({ job: id, tasks: tasks.length }, 'placed');
   }
@@ -184,7 +184,7 @@
   }
 
   private suits(spec: JobSpec, m: Machine): boolean {
-    return allows({ builds: spec.builds, hall: spec.hall, spot: spec.loaners }, m.place);
+    return allows({ types: spec.builds, onlyZone: spec.hall, spot: spec.loaners }, m.place);
   }
 
   private hosts(now: SteadyMs): Host[] {
@@ -195,15 +195,15 @@
         continue;
       if (m.isGhost(this.epoch, now)) continue;
       if (m.lastHeard === undefined || since(m.lastHeard, now) > silent) continue;
-      const flavor = this.deps.catalog.flavor(m.place.build);
+      const flavor = this.deps.catalog.flavor(m.place.type);
       if (!flavor) continue;
       const load = this.board.fleet.load(m);
       if (load.unknown) continue;
       const total = sizeOfFlavor(flavor);
       hosts.push({
         id: m.id,
-        build: m.place.build,
-        hall: m.place.hall,
+        type: m.place.type,
+        zone: m.place.zone,
         spot: m.place.spot,
         total,
         free: less(total, load.used),
@@ -223,7 +223,7 @@
   expected(): { spec: JobSpec; count: number }[] {
     let cpus = 0;
     for (const m of this.machines.values()) {
-      if (m.up) cpus += this.deps.catalog.flavor(m.place.build)?.vcpus ?? 0;
+      if (m.up) cpus += this.deps.catalog.flavor(m.place.type)?.vcpus ?? 0;
     }
     return this.standby.expected(cpus);
   }
@@ -234,8 +234,8 @@
     const inZone = new Map<string, number>();
     if (zoned) {
       for (const p of job.placed.values()) {
-        const hall = this.machines.get(p.machine)?.place.hall ?? '';
-        inZone.set(hall, (inZone.get(hall) ?? 0) + 1);
+        const zone = this.machines.get(p.machine)?.place.zone ?? '';
+        inZone.set(zone, (inZone.get(zone) ?? 0) + 1);
       }
     }
     const unknown = inZone.get('') ?? 0;
@@ -253,8 +253,8 @@
       size: sizeOfSpec(spec),
       image: spec.bundle,
       imageGb: spec.size_gb,
-      builds: spec.builds,
-      hall: spec.hall,
+      types: spec.builds,
+      onlyZone: spec.hall,
       spot: spec.loaners,
       together: spec.together,
       // While none of its tasks may be anywhere, it is free to start over in another zone.
--- a/src/leader/orders.ts
+++ b/src/leader/orders.ts
@@ -68,7 +68,7 @@
   /** The orders that a report is answered with. */
   answer(m: Machine, r: Report): Order[] {
     const out: Order[] = [];
-    for (const e of r.entries) {
+    for (const e of r.tasks) {
       const ref = parseTaskKey(e.entry);
       if (!ref) {
         if (e.status === 'exited') out.push({ verb: 'clear', entry: e.entry, try: e.try });
@@ -103,7 +103,7 @@
         p.version <= job.committed &&
         (!m.draining || m.doubts.has(attempt))
       ) {
-        p.sent = { shift: r.shift, tally: r.tally };
+        p.sent = { session: r.session, sequence: r.sequence };
         out.push({ verb: 'launch', entry: key, try: a.attempt });
       }
     }
@@ -205,7 +205,7 @@
       type: 'command' as const,
       address: m.addr,
       token: this.epoch,
-      session: m.report.shift,
+      session: m.report.session,
       timeoutMs: timeout,
       orders,
     };
@@ -246,7 +246,7 @@
    */
   private take(m: Machine, r: Report): boolean {
     const now = this.deps.clock.steady();
-    const began = m.report === undefined || r.shift > m.report.shift;
+    const began = m.report === undefined || r.session > m.report.session;
     if (!m.take(r, now)) return false;
     if (began) m.answered(leaseEnd(now, this.deps.settings.workers.lease));
     return true;
--- a/src/leader/reports.ts
+++ b/src/leader/reports.ts
@@ -73,15 +73,15 @@
   takeUnchanged(u: UnchangedReport, through: NodeId): BeatReply | undefined {
     const m = this.board.fleet.machines.get(MachineId(u.machine));
     const last = m?.report;
-    if (!m || last?.baseline !== u.unchangedSince || last.shift !== u.session) return undefined;
-    return this.accept(m, { ...last, tally: u.sequence, baton: u.token }, through);
+    if (!m || last?.baseline !== u.unchangedSince || last.session !== u.session) return undefined;
+    return this.accept(m, { ...last, sequence: u.sequence, token: u.token }, through);
   }
 
   private receive(b: Beat, r: Report, through: NodeId | undefined): BeatReply {
     const id = MachineId(b.box);
     const { fleet } = this.board;
     if (fleet.isGone(id)) return this.noOrders;
-    const m = fleet.meet(id, { build: b.build, hall: b.hall, spot: b.loaners }, b.addr);
+    const m = fleet.meet(id, { type: b.build, zone: b.hall, spot: b.loaners }, b.addr);
     return this.accept(m, r, through);
   }
 
@@ -105,14 +105,14 @@
    */
   private noteHearing(m: Machine, r: Report, last: Report, now: SteadyMs): void {
     const { lease } = this.deps.settings.workers;
-    if (r.baton >= this.epoch && last.baton < this.epoch) m.heeded();
+    if (r.token >= this.epoch && last.token < this.epoch) m.heeded();
     // Its lease ran out though its last report was answered in time.
-    const cutShort = r.shift > last.shift && since(now, m.expires) > lease * HEARD_SHARE;
-    if (cutShort && last.baton >= this.epoch) {
+    const cutShort = r.session > last.session && since(now, m.expires) > lease * HEARD_SHARE;
+    if (cutShort && last.token >= this.epoch) {
       m.deafSince ??= now;
       return;
     }
-    let ignored = r.baton < this.epoch;
+    let ignored = r.token < this.epoch;
     for (const [key, a] of m.assigned) {
       const p = this.board.ledger.jobs.get(a.job)?.placed.get(a.index);
       if (!p?.sent || p.seen) continue;
@@ -130,7 +130,7 @@
     const now = this.deps.clock.steady();
     const { fleet, ledger } = this.board;
     let busy = false;
-    for (const e of r.entries) {
+    for (const e of r.tasks) {
       const ref = parseTaskKey(e.entry);
       if (e.status !== 'exited') busy = true;
       if (!ref) continue;
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -240,9 +240,9 @@
     const machines: Record<string, { up: number; booting: number; cpus: number; used: number }> =
       {};
     for (const m of this.fleet.machines.values()) {
-      const flavor = this.deps.catalog.flavor(m.place.build);
+      const flavor = this.deps.catalog.flavor(m.place.type);
       if (!flavor) continue;
-      const key = `${m.place.build} ${m.place.spot ? 'spot' : 'plain'}`;
+      const key = `${m.place.type} ${m.place.spot ? 'spot' : 'plain'}`;
       const sum = (machines[key] ??= { up: 0, booting: 0, cpus: 0, used: 0 });
       if (m.up) {
         sum.up++;
--- a/src/ledger/job.ts
+++ b/src/ledger/job.ts
@@ -19,7 +19,7 @@
   readonly inherited: boolean;
   readonly at: SteadyMs;
   /** The report whose answer last carried the start. */
-  sent?: { readonly shift: number; readonly tally: number };
+  sent?: { readonly session: number; readonly sequence: number };
   /** A report has shown it. */
   seen: boolean;
   /** Its start, or its stop, has been sent straight to the worker. */
--- a/src/placer/claims.ts
+++ b/src/placer/claims.ts
@@ -53,9 +53,9 @@
 function byZone(slots: readonly Slot[]): Map<string, Slot[]> {
   const zones = new Map<string, Slot[]>();
   for (const slot of slots) {
-    const zone = zones.get(slot.host.hall) ?? [];
+    const zone = zones.get(slot.host.zone) ?? [];
     zone.push(slot);
-    zones.set(slot.host.hall, zone);
+    zones.set(slot.host.zone, zone);
   }
   return zones;
 }
--- a/src/placer/fill.ts
+++ b/src/placer/fill.ts
@@ -66,10 +66,10 @@
 
   private mayTake(slot: Slot): boolean {
     const { want } = this;
-    const { hall } = slot.host;
+    const { zone } = slot.host;
     if (!fits(want.size, slot)) return false;
-    if (want.together && this.zone !== undefined && hall !== this.zone) return false;
-    if ((this.inZone.get(hall) ?? 0) >= want.perZone) return false;
+    if (want.together && this.zone !== undefined && zone !== this.zone) return false;
+    if ((this.inZone.get(zone) ?? 0) >= want.perZone) return false;
     // Room is kept from what comes later, but not for so long that a job can't begin beside it.
     if (want.mustBegin && (want.whole || this.size === 0)) return true;
     return slot.claimed === 'no' && (want.urgent || this.room.spare(slot, want));
@@ -85,8 +85,8 @@
       this.team.cpus -= want.size.cpus;
       this.team.gpus -= want.size.gpus;
     }
-    if (want.together) this.zone = slot.host.hall;
-    this.inZone.set(slot.host.hall, (this.inZone.get(slot.host.hall) ?? 0) + 1);
+    if (want.together) this.zone = slot.host.zone;
+    this.inZone.set(slot.host.zone, (this.inZone.get(slot.host.zone) ?? 0) + 1);
     this.taken.push({ index, candidate, fetches });
   }
 
@@ -152,14 +152,14 @@
   if (indexes.length === 0 || indexes.length < want.count) return [];
   if (!isUnder(team, want.size, indexes.length)) return [];
   const attempt = (zone: string | undefined): Filling | undefined => {
-    const within = candidates.filter((c) => zone === undefined || c.slot.host.hall === zone);
+    const within = candidates.filter((c) => zone === undefined || c.slot.host.zone === zone);
     const filling = new Filling(want, within, room, team, zone);
     if (indexes.every((index) => filling.add(index))) return filling;
     filling.undo();
     return undefined;
   };
   if (!want.together || want.zone !== undefined) return attempt(want.zone)?.assignments() ?? [];
-  const zones = new Set(candidates.map((c) => c.slot.host.hall));
+  const zones = new Set(candidates.map((c) => c.slot.host.zone));
   let best: { zone: string; cost: number } | undefined;
   for (const zone of zones) {
     const filling = attempt(zone);
--- a/src/placer/room.ts
+++ b/src/placer/room.ts
@@ -16,8 +16,8 @@
 
 /** Machines that are alike to a job that asks whether it may run there. */
 export interface Kind {
-  readonly build: string;
-  readonly hall: string;
+  readonly type: string;
+  readonly zone: string;
   readonly spot: boolean;
   readonly total: Size;
   readonly slots: Slot[];
@@ -35,12 +35,12 @@
 const BOUND = 0.75;
 
 export function allows(
-  want: Pick<Want, 'builds' | 'hall' | 'spot'>,
-  host: Pick<Host, 'build' | 'hall' | 'spot'>,
+  want: Pick<Want, 'types' | 'onlyZone' | 'spot'>,
+  host: Pick<Host, 'type' | 'zone' | 'spot'>,
 ): boolean {
   return (
-    (want.builds === null || want.builds.includes(host.build)) &&
-    (want.hall === null || want.hall === host.hall) &&
+    (want.types === null || want.types.includes(host.type)) &&
+    (want.onlyZone === null || want.onlyZone === host.zone) &&
     (want.spot || !host.spot)
   );
 }
@@ -73,11 +73,20 @@
     for (const host of hosts) {
       cpus += host.total.cpus;
       smallest = Math.min(smallest, host.total.cpus);
-      const key = `${host.build}|${host.hall}|${host.spot}|${host.total.cpus}`;
+      const key = `${host.type}|${host.zone}|${host.spot}|${host.total.cpus}`;
       let kind = kinds.get(key);
       if (!kind) {
-        const { build, hall, spot, total } = host;
-        kind = { build, hall, spot, total, slots: [], open: [], claims: 0, contested: false };
+        const { type, zone, spot, total } = host;
+        kind = {
+          type,
+          zone,
+          spot,
+          total,
+          slots: [],
+          open: [],
+          claims: 0,
+          contested: false,
+        };
         kinds.set(key, kind);
       }
       const { cpus: free, gpus, ramGb } = host.free;
--- a/src/placer/types.ts
+++ b/src/placer/types.ts
@@ -4,8 +4,8 @@
 
 export interface Host {
   readonly id: MachineId;
-  readonly build: string;
-  readonly hall: string;
+  readonly type: string;
+  readonly zone: string;
   readonly spot: boolean;
   readonly total: Size;
   readonly free: Size;
@@ -23,8 +23,9 @@
   readonly size: Size;
   readonly image: string;
   readonly imageGb: number;
-  readonly builds: readonly string[] | null;
-  readonly hall: string | null;
+  /** The allowed machine types and the only allowed zone; null: any. */
+  readonly types: readonly string[] | null;
+  readonly onlyZone: string | null;
   readonly spot: boolean;
   readonly together: boolean;
   /** The zone that a job kept together is bound to. */
--- a/test/unit/fleet.test.ts
+++ b/test/unit/fleet.test.ts
@@ -17,7 +17,7 @@
 const report = (change: Partial<Parameters<typeof toReport>[0]>): Report =>
   toReport({ shift: 1, tally: 10, baton: 50, recall_s: null, entries: [], ...change });
 const machine = (): Machine =>
-  new Machine(MachineId('vm-1'), { build: 'a', hall: 'z', spot: true }, 10, SteadyMs(0));
+  new Machine(MachineId('vm-1'), { type: 'a', zone: 'z', spot: true }, 10, SteadyMs(0));
 
 void test('reports are ordered by shift and tally, whichever way they came', () => {
   const cases: [string, [number, number], [number, number], boolean][] = [
@@ -69,7 +69,7 @@
     proven: boolean,
   ];
   const never = { inherited: false, sent: undefined };
-  const sent = { inherited: false, sent: { shift: 1, tally: 9 } };
+  const sent = { inherited: false, sent: { session: 1, sequence: 9 } };
   const old = { inherited: true, sent: undefined };
   const cases: Case[] = [
     ['never sent', {}, true, never, none, true],
--- a/test/unit/ledger.test.ts
+++ b/test/unit/ledger.test.ts
@@ -110,13 +110,13 @@
   const late = decodeJob(id, encodeJob(ours, Epoch(3)), Revision(8), now);
   const first = ours.placed.get(0);
   assert.ok(first);
-  first.sent = { shift: 1, tally: 9 };
+  first.sent = { session: 1, sequence: 9 };
   // A later write of ours, which lost against the late one.
   ours.place([{ index: 1, machine: b }], now);
   const used = ours.version;
   late.succeed(ours);
   const kept = late.placed.get(0);
-  assert.deepEqual([kept?.sent, kept?.inherited], [{ shift: 1, tally: 9 }, false]);
+  assert.deepEqual([kept?.sent, kept?.inherited], [{ session: 1, sequence: 9 }, false]);
   assert.equal(late.placed.has(1), false);
   assert.ok(late.version > used && late.committed === late.version);
   late.place([{ index: 1, machine: a }], now);
--- a/test/unit/lost-machines.test.ts
+++ b/test/unit/lost-machines.test.ts
@@ -9,7 +9,7 @@
 
 /** A machine that was last heard at that second; undefined: not yet by this leader. */
 function machine(id: string, heardAt: number | undefined, change: Partial<Machine> = {}): Machine {
-  const place = { build: 'small', hall: 'a', spot: true };
+  const place = { type: 'small', zone: 'a', spot: true };
   const m = new Machine(MachineId(id), place, 20, at(1000));
   m.up = heardAt !== undefined;
   m.lastHeard = heardAt === undefined ? undefined : at(heardAt);
--- a/test/unit/orders.test.ts
+++ b/test/unit/orders.test.ts
@@ -50,7 +50,7 @@
     const clock = new ProcessClock(time, 0, 0);
     const settings = parseSettings(settingsFile());
     const fleet = emptyFleet(lease);
-    const m = fleet.meet(id, { build: 'small', hall: 'a', spot: true }, beat.addr);
+    const m = fleet.meet(id, { type: 'small', zone: 'a', spot: true }, beat.addr);
     m.take(toReport(beat), clock.steady());
     m.answered(leaseEnd(clock.steady(), lease));
     const job = new Job(JobId('run-000001'), spec({ entries: 1, urgency }), WallMs(0), Revision(1));
@@ -90,8 +90,8 @@
     orders.isBusy = busy;
     orders.push(id);
     await time.run(lease + 10);
-    assert.equal(m.report?.shift, shift, name);
-    assert.equal(m.report?.tally, status === 0 ? 9 : 12, name);
+    assert.equal(m.report?.session, shift, name);
+    assert.equal(m.report?.sequence, status === 0 ? 9 : 12, name);
     assert.equal(m.expires > before, renewed, name);
     if (renewed) assert.ok(m.expires >= lease * 2, name);
   }
@@ -106,7 +106,7 @@
   for (const [name, evicted, inDoubt, verbs] of cases) {
     const clock = new ProcessClock(new VirtualTime(), 0, 0);
     const fleet = emptyFleet(parseSettings(settingsFile()).workers.lease);
-    const m = fleet.meet(id, { build: 'small', hall: 'a', spot: true }, beat.addr);
+    const m = fleet.meet(id, { type: 'small', zone: 'a', spot: true }, beat.addr);
     const job = new Job(JobId('run-000001'), spec({ entries: 1 }), WallMs(0), Revision(1));
     job.place([{ index: 0, machine: id }], clock.steady());
     job.committed = job.version;
--- a/test/unit/placer.test.ts
+++ b/test/unit/placer.test.ts
@@ -17,8 +17,8 @@
   const total: Size = change.total ?? { cpus: 8, gpus: 0, ramGb: 32 };
   return {
     id: MachineId(id),
-    build: 'small',
-    hall: 'a',
+    type: 'small',
+    zone: 'a',
     spot: true,
     total,
     free: total,
@@ -35,8 +35,8 @@
   size: { cpus: 2, gpus: 0, ramGb: 1 },
   image: 'img',
   imageGb: 2,
-  builds: null,
-  hall: null,
+  types: null,
+  onlyZone: null,
   spot: true,
   together: false,
   zone: undefined,
@@ -95,14 +95,14 @@
     ['the smaller type', want('j', 1), [host('m1', { total: big, free: big }), host('m2')], 'm2'],
     [
       'only an allowed type',
-      want('j', 1, { builds: ['fat'] }),
-      [host('m1'), host('m2', { build: 'fat' })],
+      want('j', 1, { types: ['fat'] }),
+      [host('m1'), host('m2', { type: 'fat' })],
       'm2',
     ],
     [
       'only the allowed zone',
-      want('j', 1, { hall: 'b' }),
-      [host('m1'), host('m2', { hall: 'b' })],
+      want('j', 1, { onlyZone: 'b' }),
+      [host('m1'), host('m2', { zone: 'b' })],
       'm2',
     ],
     [
@@ -120,7 +120,7 @@
     [
       'its zone',
       want('j', 1, { together: true, zone: 'b' }),
-      [host('m1'), host('m2', { hall: 'b' })],
+      [host('m1'), host('m2', { zone: 'b' })],
       'm2',
     ],
     [
@@ -159,7 +159,7 @@
     [
       [
         'the best machine is alone in its zone',
-        [host('m1', { images: ['img'], free: small }), host('m2', { hall: 'b' })],
+        [host('m1', { images: ['img'], free: small }), host('m2', { zone: 'b' })],
         undefined,
         'b',
       ],
@@ -168,14 +168,14 @@
         [
           host('m1', { images: ['img'], free: small }),
           host('m2', { free: small }),
-          host('m3', { hall: 'b', images: ['img'], rate: 9 }),
+          host('m3', { zone: 'b', images: ['img'], rate: 9 }),
         ],
         undefined,
         'b',
       ],
       [
         'room for half of it in each',
-        [host('m1', { free: small }), host('m2', { hall: 'b', free: small })],
+        [host('m1', { free: small }), host('m2', { zone: 'b', free: small })],
         undefined,
         undefined,
       ],
@@ -185,7 +185,7 @@
   for (const [name, hosts, team, zone] of cases) {
     const teams = new Map(team === undefined ? [] : [['t', { cpus: team, gpus: Infinity }]]);
     const placed = place([gang], hosts, teams, 100);
-    const zones = new Set(placed.map((a) => hosts.find((h) => h.id === a.machine)?.hall));
+    const zones = new Set(placed.map((a) => hosts.find((h) => h.id === a.machine)?.zone));
     assert.deepEqual([...zones], zone === undefined ? [] : [zone], name);
     assert.equal(placed.length, zone === undefined ? 0 : 4, name);
     if (team !== undefined && zone === undefined) assert.equal(teams.get('t')?.cpus, team, name);
@@ -196,9 +196,9 @@
   const free: Size = { cpus: 4, gpus: 0, ramGb: 32 };
   const hosts = [
     host('m1', { free }),
-    host('m2', { hall: 'b', free }),
-    host('m3', { hall: 'b', free: { ...free, cpus: 2 } }),
-    host('m4', { hall: 'b', free: { ...free, cpus: 0 } }),
+    host('m2', { zone: 'b', free }),
+    host('m3', { zone: 'b', free: { ...free, cpus: 2 } }),
+    host('m4', { zone: 'b', free: { ...free, cpus: 0 } }),
   ];
   const cases: [name: string, count: number, left: string[]][] = [
     ['it could have all of one machine', 4, ['m1', 'm1', 'm3']],
@@ -220,8 +220,8 @@
   });
   const hosts = fc.array(
     fc.record({
-      build: fc.constantFrom('small', 'fat'),
-      hall: fc.constantFrom('a', 'b', 'c'),
+      type: fc.constantFrom('small', 'fat'),
+      zone: fc.constantFrom('a', 'b', 'c'),
       spot: fc.boolean(),
       free: fc.record({ cpus: fc.nat(16), gpus: fc.nat(2), ramGb: fc.nat(40) }),
       images: fc.subarray(['x', 'y']),
@@ -234,11 +234,12 @@
       size,
       team: fc.constantFrom('t', 'u'),
       image: fc.constantFrom('x', 'y', 'z'),
-      builds: fc.option(fc.subarray(['small', 'fat']), { nil: null }),
-      hall: fc.option(fc.constantFrom('a', 'b'), { nil: null }),
+      types: fc.option(fc.subarray(['small', 'fat']), { nil: null }),
+      onlyZone: fc.option(fc.constantFrom('a', 'b'), { nil: null }),
       spot: fc.boolean(),
       together: fc.boolean(),
       apart: fc.boolean(),
+      whole: fc.boolean(),
     }),
     { maxLength: 5 },
   );
@@ -275,7 +276,7 @@
         });
         if (w.team === 't') team += w.size.cpus;
         const z = zones.get(w.id) ?? new Map<string, number>();
-        z.set(h.hall, (z.get(h.hall) ?? 0) + 1);
+        z.set(h.zone, (z.get(h.zone) ?? 0) + 1);
         zones.set(w.id, z);
       }
       for (const h of hostList) {
@@ -287,6 +288,12 @@
       for (const w of wantList) {
         const z = zones.get(w.id);
         if (!z) continue;
+        if (w.whole)
+          assert.equal(
+            [...z.values()].reduce((a, b) => a + b),
+            w.count,
+            'all or none',
+          );
         if (w.together) assert.equal(z.size, 1);
         for (const n of z.values()) assert.ok(n <= w.perZone);
       }
--- a/test/unit/report-relay.test.ts
+++ b/test/unit/report-relay.test.ts
@@ -70,10 +70,10 @@
   contents(): unknown {
     return [...this.fleet.machines.values()].map((m) => ({
       id: m.id,
-      shift: m.report?.shift,
-      tally: m.report?.tally,
-      baton: m.report?.baton,
-      entries: m.report?.entries.map((e) => [e.entry, e.try, e.status, e.cause ?? null]),
+      shift: m.report?.session,
+      tally: m.report?.sequence,
+      baton: m.report?.token,
+      entries: m.report?.tasks.map((e) => [e.entry, e.try, e.status, e.cause ?? null]),
       expires: m.expires,
       up: m.up,
       deaf: m.deafSince,
--- a/test/unit/reports.test.ts
+++ b/test/unit/reports.test.ts
@@ -34,7 +34,7 @@
   );
   for (let i = 0; i < 15; i++) {
     const id = MachineId(`vm-${i % 3}`);
-    const m = fleet.meet(id, { build: 'small', hall: 'a', spot: true }, '');
+    const m = fleet.meet(id, { type: 'small', zone: 'a', spot: true }, '');
     job.place([{ index: 0, machine: id }], clock.steady());
     const attempt = job.placed.get(0)?.attempt ?? 0;
     const entry = { entry: `${job.id}/0`, try: attempt, status: 'exited', cause: 'error' };
