Room stands by no longer than it is wanted, also while nothing waits

Cause: what came lately was forgotten only as something was placed. Test in standby.test.ts, red before.

--- a/src/leader/dispatch.ts
+++ b/src/leader/dispatch.ts
@@ -225,7 +225,7 @@
     for (const m of this.machines.values()) {
       if (m.up) cpus += this.deps.catalog.flavor(m.place.type)?.vcpus ?? 0;
     }
-    return this.standby.expected(cpus);
+    return this.standby.expected(cpus, this.deps.clock.steady());
   }
 
   private want({ job, rank, tasks, mustBegin }: Place, now: SteadyMs): Want {
--- a/src/leader/standby.ts
+++ b/src/leader/standby.ts
@@ -47,20 +47,25 @@
   }
 
   reserve(fleetCpus: number, now: SteadyMs): Reserve {
-    const out = new Map<string, number>();
-    for (const [image, s] of this.seen) {
-      if (since(s.at, now) > FORGET) this.seen.delete(image);
-      else out.set(image, Math.min(s.mean * ROOM, fleetCpus * MOST_SHARE));
-    }
-    return out;
+    this.forget(now);
+    const most = fleetCpus * MOST_SHARE;
+    return new Map([...this.seen].map(([image, { mean }]) => [image, Math.min(mean * ROOM, most)]));
   }
 
   /** The next submission of each kind, as it were: what room to have standing by for. */
-  expected(fleetCpus: number): { spec: JobSpec; count: number }[] {
+  expected(fleetCpus: number, now: SteadyMs): { spec: JobSpec; count: number }[] {
+    this.forget(now);
     const most = fleetCpus * MOST_SHARE;
     return [...this.seen.values()].map(({ spec, mean }) => ({
       spec,
       count: Math.ceil(Math.min(mean, most) / spec.vcpus),
     }));
   }
+
+  /** Also while nothing waits: machines that stand by for what does not come any more cost as much as others. */
+  private forget(now: SteadyMs): void {
+    for (const [image, { at }] of this.seen) {
+      if (since(at, now) > FORGET) this.seen.delete(image);
+    }
+  }
 }
--- /dev/null
+++ b/test/unit/standby.test.ts
@@ -0,0 +1,30 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { StandbyWork } from '../../src/leader/standby.js';
+import { SteadyMs, seconds } from '../../src/units/index.js';
+import type { JobSpec } from '../../src/wire/index.js';
+import { spec } from '../support/jobs.js';
+
+const at = (s: number): SteadyMs => SteadyMs(seconds(s));
+const objectives = [{ kind: 'wait', docket: 'merge', within: seconds(5), times: 1 }];
+
+void test('for which jobs room stands by, and for how long', () => {
+  const cases: [name: string, change: Partial<JobSpec>, asked: number, stands: boolean][] = [
+    ['urgent', { urgency: 'high' }, 10, true],
+    ['its users wait for its start', { docket: 'merge' }, 10, true],
+    ['neither', {}, 10, false],
+    ['long ago', { urgency: 'high' }, 200, false],
+  ];
+  for (const [name, change, asked, stands] of cases) {
+    const standby = new StandbyWork(objectives);
+    standby.note(spec({ entries: 4, vcpus: 2, ...change }), at(0));
+    // Asked for what to rent first, as while nothing waits: nothing else makes it forget.
+    const expected = standby.expected(1000, at(asked));
+    assert.deepEqual(
+      expected.map((e) => e.count),
+      stands ? [4] : [],
+      name,
+    );
+    assert.equal(standby.reserve(1000, at(asked)).get('img-01'), stands ? 16 : undefined, name);
+  }
+});
