--- a/test/sim/fleet.test.ts
+++ b/test/sim/fleet.test.ts
@@ -15,7 +15,7 @@
 async function working(seed: number): Promise<{ world: World; fleet: string[] }> {
   const world = sure(seed);
   await world.run(3000);
-  world.submit({ entries: 8, vcpus: 3 }, 200_000);
+  world.users.submit({ entries: 8, vcpus: 3 }, 200_000);
   await world.run(70_000);
   const fleet = [...world.workers.keys()];
   assert.ok(fleet.length >= 2);
@@ -72,15 +72,19 @@
     const world = sure(seed);
     await world.run(3000);
     // Its machine holds the image, has room, and is not given back meanwhile.
-    const other = world.submit({ entries: 1 }, 300_000);
+    const other = world.users.submit({ entries: 1 }, 300_000);
     await world.run(25_000);
     assert.equal(world.workers.size, 1);
     const before = world.starts;
     world.network.hold('/commands');
-    world.submit({ entries: 1 }, 200_000, abortAfter);
+    world.users.submit({ entries: 1 }, 200_000, abortAfter);
     await world.run(abortAfter + 60_000);
     const started = world.starts - before;
-    assert.deepEqual(world.unfinished(), [`${other} running`], `cancelled after ${abortAfter} ms`);
+    assert.deepEqual(
+      world.users.unfinished(),
+      [`${other} running`],
+      `cancelled after ${abortAfter} ms`,
+    );
     world.network.hold(undefined);
     await world.run(10_000);
     assert.equal(world.starts - before, started, 'the late start is a repeat');
@@ -91,21 +95,21 @@
 void test('a job of very many tasks keeps its record within a value of the store', async () => {
   const world = sure(31);
   await world.run(3000);
-  world.submit({ entries: 100_000, vcpus: 0.1, ram_gb: 0.1 }, 2000, 60_000);
+  world.users.submit({ entries: 100_000, vcpus: 0.1, ram_gb: 0.1 }, 2000, 60_000);
   await world.run(100_000);
   assert.ok(world.starts > 500, `${world.starts} tasks started`);
   assert.ok(Math.max(...world.state.sizes) <= 8192);
   assert.deepEqual(world.broken, []);
-  assert.deepEqual(world.unfinished(), []);
+  assert.deepEqual(world.users.unfinished(), []);
 });
 
 void test('a finish stays with its worker until it is in the store', async () => {
   const world = sure(41);
   await world.run(3000);
-  const other = world.submit({ entries: 1 }, 300_000);
+  const other = world.users.submit({ entries: 1 }, 300_000);
   await world.run(25_000);
   const before = world.starts;
-  world.submit({ entries: 1 }, 6000);
+  world.users.submit({ entries: 1 }, 6000);
   await world.run(5000);
   const leader = world.leaderNode() ?? 0;
   world.state.outage(true);
@@ -115,7 +119,7 @@
   world.state.outage(false);
   world.time.after(3000, () => world.startNode(leader));
   await world.run(30_000);
-  assert.deepEqual(world.unfinished(), [`${other} running`]);
+  assert.deepEqual(world.users.unfinished(), [`${other} running`]);
   assert.equal(world.starts - before, 1, 'what was finished is not run again');
   assert.deepEqual(world.broken, []);
 });
@@ -128,16 +132,16 @@
   for (const n of [0, 1, 2]) if (n !== leader) world.killNode(n);
   world.deafen(deaf, true);
   const began = world.time.now;
-  for (let i = 0; i < 6; i++) world.submit({ entries: 2, vcpus: 1 }, 4000);
+  for (let i = 0; i < 6; i++) world.users.submit({ entries: 2, vcpus: 1 }, 4000);
   await world.run(75_000);
   assert.deepEqual(
-    world.unfinished().filter((u) => !u.startsWith('run-000001')),
+    world.users.unfinished().filter((u) => !u.startsWith('run-000001')),
     [],
     `after ${world.time.now - began} ms`,
   );
   assert.ok(!world.workers.has(deaf));
   await world.run(340_000);
-  assert.deepEqual(world.unfinished(), []);
+  assert.deepEqual(world.users.unfinished(), []);
   assert.deepEqual(world.broken, []);
 });
 
@@ -168,7 +172,7 @@
   });
   await world.run(200);
   const before = world.starts;
-  world.submit({ entries: 3, vcpus: 1, loaners: false }, 4000);
+  world.users.submit({ entries: 3, vcpus: 1, loaners: false }, 4000);
   await world.run(18_000);
   assert.equal(world.starts - before, 3);
   assert.deepEqual(world.broken, []);
@@ -184,7 +188,7 @@
     'none is given up as silent',
   );
   await world.run(260_000);
-  assert.deepEqual(world.unfinished(), []);
+  assert.deepEqual(world.users.unfinished(), []);
   assert.deepEqual(world.broken, []);
 });
 
@@ -193,7 +197,7 @@
   for (const held of [false, true]) {
     const world = sure(61);
     await world.run(3000);
-    const id = world.submit({ entries: 1 }, 300_000);
+    const id = world.users.submit({ entries: 1 }, 300_000);
     await world.run(25_000);
     const endpoint = Endpoint(`10.0.0.${(world.leaderNode() ?? 0) + 1}:8080`);
     const client = world.network.client('user', '.region', new ProcessClock(world.time, 0, 0));
@@ -220,7 +224,8 @@
   world.cloud.neverUp = 0;
   world.provide(1050);
   // All have been kept busy for longer than the shortest time a machine is paid for.
-  for (let i = 0; i < 20; i++) world.submit({ entries: 100, vcpus: 4, expected_s: 60 }, 60_000);
+  for (let i = 0; i < 20; i++)
+    world.users.submit({ entries: 100, vcpus: 4, expected_s: 60 }, 60_000);
   await world.run(24_000);
   const fleet = [...world.workers.keys()];
   assert.ok(fleet.length >= 1050);
@@ -235,7 +240,7 @@
   );
   assert.ok(world.starts <= 2000 * 1.01, 'what ran goes on and is not started again');
   await world.run(60_000);
-  assert.deepEqual(world.unfinished(), []);
+  assert.deepEqual(world.users.unfinished(), []);
   assert.deepEqual(world.broken, []);
 });
 
@@ -243,11 +248,11 @@
   const world = sure(81);
   world.state.keeps = 10;
   await world.run(3000);
-  for (let i = 0; i < 10; i++) world.submit({ entries: 2, vcpus: 1 }, 3000);
+  for (let i = 0; i < 10; i++) world.users.submit({ entries: 2, vcpus: 1 }, 3000);
   await world.run(30_000);
   const before = world.state.watched;
   await world.run(30_000);
   // Each of three nodes waits for ten seconds at a time, the leader for notices.
   assert.ok(world.state.watched - before <= 15, `${world.state.watched - before} watches`);
-  assert.deepEqual(world.unfinished(), []);
+  assert.deepEqual(world.users.unfinished(), []);
 });
--- a/test/sim/gangs.test.ts
+++ b/test/sim/gangs.test.ts
@@ -24,7 +24,7 @@
 async function worldWithGang(seed: number, change: Partial<JobSpec>, runMs: number) {
   const world = new World({ seed });
   await world.run(2500);
-  const id = world.submit({ ...GANG, ...change }, runMs);
+  const id = world.users.submit({ ...GANG, ...change }, runMs);
   return { world, id, gang: gangOf(world, id) };
 }
 
@@ -39,12 +39,12 @@
   const world = new World({ seed: 11 });
   await world.run(2500);
   const ids = [
-    world.submit({ ...GANG, entries: 2 }, 5000),
-    world.submit({ ...GANG, entries: 5, vcpus: 2, loaners: false }, 8000),
-    world.submit({ ...GANG, together: false, entries: 3 }, 8000),
-    world.submit({ ...GANG, together: false, apart: true, entries: 4 }, 8000),
+    world.users.submit({ ...GANG, entries: 2 }, 5000),
+    world.users.submit({ ...GANG, entries: 5, vcpus: 2, loaners: false }, 8000),
+    world.users.submit({ ...GANG, together: false, entries: 3 }, 8000),
+    world.users.submit({ ...GANG, together: false, apart: true, entries: 4 }, 8000),
   ];
-  world.submit({ entries: 6 }, 6000);
+  world.users.submit({ entries: 6 }, 6000);
   await settle(world, 'quiet');
   for (const id of ids) assert.equal(gangOf(world, id).starts, 1, id);
 });
@@ -96,7 +96,7 @@
       world.recall(firstMachine(world, id), 6000);
       await world.run(2500);
     }
-    world.cancel(id);
+    world.users.cancel(id);
     await settle(world, `seed ${seed}`);
     assert.equal(world.machinesOf(id).length, 0);
     assert.equal(world.jobs.get(id)?.told, 'aborted');
@@ -114,8 +114,12 @@
       world.killNode(leader);
       world.time.after(step % 3 === 0 ? 200 : 5000, () => world.startNode(leader));
     };
-    world.submit({ ...GANG, entries: 3 }, 6000);
-    world.submit({ ...GANG, entries: 2, loaners: false }, 9000, step % 2 ? 15_000 : undefined);
+    world.users.submit({ ...GANG, entries: 3 }, 6000);
+    world.users.submit(
+      { ...GANG, entries: 2, loaners: false },
+      9000,
+      step % 2 ? 15_000 : undefined,
+    );
     await settle(world, `killed at step ${step}`);
   }
 });
@@ -127,7 +131,7 @@
     await world.run(2500);
     world.provide(30);
     for (let i = 0; i < 4; i++) {
-      world.submit({ entries: 70, vcpus: 2 }, 20_000, i === 0 ? 32_000 : undefined);
+      world.users.submit({ entries: 70, vcpus: 2 }, 20_000, i === 0 ? 32_000 : undefined);
       submitGang(world);
     }
     await world.run(18_000 + seed * 50);
@@ -136,7 +140,7 @@
     const leader = world.leaderNode() ?? 0;
     world.killNode(leader);
     world.time.after(3000, () => world.startNode(leader));
-    for (let i = 0; i < 3; i++) world.submit({ entries: 60, vcpus: 2 }, 12_000);
+    for (let i = 0; i < 3; i++) world.users.submit({ entries: 60, vcpus: 2 }, 12_000);
     submitGang(world);
     await settle(world, `seed ${seed}`);
     assert.ok(world.state.tooLarge <= 8, `${world.state.tooLarge} refused as too large`);
--- a/test/standin/day.ts
+++ b/test/standin/day.ts
@@ -37,7 +37,7 @@
   world.calm();
   await world.run(240_000);
   assert.deepEqual(world.broken, [], name);
-  assert.deepEqual(world.unfinished(), [], name);
+  assert.deepEqual(world.users.unfinished(), [], name);
 }
 
 /** As many as the team's limit lets end within the time that a day takes to settle. */
@@ -47,7 +47,7 @@
 export function submitGang(world: World): void {
   const r = world.random;
   const saves = r() < 0.6;
-  world.submit(
+  world.users.submit(
     {
       shape: 'ensemble',
       entries: 2 + Math.floor(r() * 5),
@@ -103,7 +103,7 @@
   for (let s = 0; s < 40; s++) {
     for (let k = 0; k < 2; k++) {
       if (r() < 0.4) {
-        world.submit(
+        world.users.submit(
           {
             entries: 1 + Math.floor(r() * 6),
             vcpus: 1 + Math.floor(r() * 4),
@@ -245,14 +245,14 @@
         break;
       }
       case 29:
-        world.oddRequests();
+        world.users.oddRequests();
         break;
       case 11:
         for (const id of ids) if (r() < 0.4) world.cloud.end(id);
         break;
       default:
     }
-    world.probeUnknown();
+    world.users.probeUnknown();
     await world.run(2500 + r() * 3000);
   }
   return world;
--- a/test/standin/network.ts
+++ b/test/standin/network.ts
@@ -3,6 +3,9 @@
 import { decode, encode } from '../../src/wire/index.js';
 import type { ProcessClock, VirtualTime } from './clock.js';
 
+/** The zone of all that belongs to none: users, the balancer, the cloud, the state service. */
+export const REGION = '.region';
+
 export interface Answered {
   readonly status: number;
   readonly body?: unknown;
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -7,19 +7,17 @@
 import type { Peer } from '../../src/peer/channel.js';
 import type { Endpoint, NodeId } from '../../src/units/index.js';
 import { ms, type Random } from '../../src/units/index.js';
-import { decode, encode, type Flavor, type JobSpec } from '../../src/wire/index.js';
-import { spec } from '../support/jobs.js';
+import { decode, encode, type Flavor } from '../../src/wire/index.js';
 import { settingsFile } from '../support/settings.js';
 import { Balancer } from './balancer.js';
 import { present, type Build } from './build.js';
 import { ProcessClock, VirtualTime } from './clock.js';
 import { Cloud, type Rented } from './cloud.js';
-import { GangRun } from './gang-run.js';
-import { Network } from './network.js';
+import { Network, REGION } from './network.js';
 import { StateService } from './state.js';
+import { Users, type Known } from './users.js';
 import { Worker, type WorkerWorld } from './worker.js';
 
-const REGION = '.region';
 const STATE = '10.2.0.1:2379';
 const CLOUD = '10.2.0.2:8443';
 
@@ -49,25 +47,6 @@
   readonly controller: Controller;
 }
 
-interface Known {
-  readonly spec: JobSpec;
-  readonly runMs: number;
-  accepted: boolean;
-  told: string;
-  abortAsked: boolean;
-  /** When the user was told that it is cancelled. */
-  abortedAt: number | undefined;
-  readonly completed: Set<number>;
-  /** What its tasks do together, if it is a gang. */
-  readonly gang: GangRun | undefined;
-  /** When a question about it was last answered. */
-  answeredAt: number;
-  /** Since when it has waited beside a machine that has room for it. */
-  besideRoomSince: number | undefined;
-  /** The process that its user's connection is open to. */
-  connection: { n: number; process: Process } | undefined;
-}
-
 /** The limit of the one team, unless a world sets another. */
 const TEAM_CPUS = 24;
 
@@ -100,7 +79,7 @@
   readonly state: StateService;
   readonly cloud: Cloud;
   readonly broken: string[] = [];
-  readonly jobs = new Map<string, Known>();
+  readonly users: Users;
   readonly workers = new Map<string, { worker: Worker; machine: Rented }>();
   starts = 0;
   private readonly nodes = new Map<number, Process>();
@@ -113,12 +92,8 @@
   /** What each controller runs when it is started next. */
   private readonly builds = new Map<number, Build>();
   private readonly log: Logger;
-  private jobCounter = 0;
-  private readonly balancer: Balancer;
   /** Since when all troubles are over. */
   private calmSince: number | undefined;
-  /** Of the last questions: when, and whether they were answered. */
-  private asked: { at: number; ok: boolean }[] = [];
 
   constructor(options: WorldOptions) {
     const generator = xoroshiro128plus(options.seed);
@@ -154,12 +129,23 @@
     this.network.attach(STATE, REGION, (m, p, b, from) => this.state.handle(m, p, b, from));
     this.network.attach(CLOUD, REGION, (m, p, b) => this.cloud.handle(m, p, b));
     for (const n of [0, 1, 2]) this.startNode(n);
-    this.balancer = new Balancer(this.time, this.random, 3, async (n) => {
+    const probes = new ProcessClock(this.time, 0, 0);
+    const balancer = new Balancer(this.time, this.random, 3, async (n) => {
       const { api } = parseSettings(settingsFile(n, this.zones));
-      const client = this.network.client('balancer', REGION, this.user);
+      const client = this.network.client('balancer', REGION, probes);
       const o = await client.send({ endpoint: api, method: 'GET', path: '/up', timeout: ms(1000) });
       return o.kind === 'answer' && o.status === 200;
     });
+    this.users = new Users({
+      time: this.time,
+      random: this.random,
+      network: this.network,
+      balancer,
+      zones: this.zones,
+      process: (n) => this.nodes.get(n),
+      completed: (entry) => this.completed(entry),
+      rule: (name, what) => this.rule(name, what),
+    });
     this.watchCancelled();
     this.watchAnswers();
     this.watchRoom();
@@ -402,12 +388,12 @@
   /** Users call off so many jobs that run, within a fifth of a second; their machines hang meanwhile. */
   cancelNow(count: number, hangMs: number): void {
     const running = [...this.jobs].filter(([id, j]) => {
-      return !this.isOver(j) && !j.abortAsked && this.machinesOf(id).length > 0;
+      return !this.users.isOver(j) && !j.abortAsked && this.machinesOf(id).length > 0;
     });
     const hung = new Set<string>();
     for (const [id, job] of running.slice(0, count)) {
       if (hangMs > 0) for (const m of this.machinesOf(id)) if (hung.size < 8) hung.add(m);
-      this.time.after(this.random() * 200, () => this.cancel(id, job));
+      this.time.after(this.random() * 200, () => this.users.cancel(id, job));
     }
     for (const m of hung) {
       this.hangWorker(m, true);
@@ -418,13 +404,6 @@
   /** Of the jobs that end from now on, so large a share is called off at that very moment. */
   cancelAtEnd = 0;
 
-  /** Its user calls the job off. */
-  cancel(id: string, job = this.jobs.get(id)): void {
-    if (!job || job.abortAsked) return;
-    job.abortAsked = true;
-    this.keepAborting(id, job);
-  }
-
   /** The machines that know of a task of a job, with its image or not. */
   placedOn(job: string): string[] {
     return [...this.workers]
@@ -543,7 +522,7 @@
     t.job.completed.add(t.index);
     const over = t.job.completed.size === t.job.spec.entries;
     if (over && this.cancelAtEnd > 0 && this.random() < this.cancelAtEnd) {
-      this.cancel(t.job.spec.name_id, t.job);
+      this.users.cancel(t.job.spec.name_id, t.job);
     }
   }
 
@@ -567,7 +546,7 @@
   /** Whether some machine has room for one more task of a job that has none anywhere. */
   private waitsBesideRoom(id: string, job: Known): boolean {
     const { spec: s } = job;
-    if (this.isOver(job) || !job.accepted || job.abortAsked) return false;
+    if (this.users.isOver(job) || !job.accepted || job.abortAsked) return false;
     const most = this.settings.teams.get(s.desk)?.cpusMax ?? 0;
     let used = 0;
     // How many of its tasks the machines have room for, by zone.
@@ -610,8 +589,8 @@
   private watchAnswers(): void {
     this.time.after(1000, () => {
       const { now } = this.time;
-      this.asked = this.asked.filter((q) => now - q.at < UNANSWERED_AMONG_OTHERS);
-      const most = this.asked.filter((q) => q.ok).length * 2 > this.asked.length;
+      this.users.asked = this.users.asked.filter((q) => now - q.at < UNANSWERED_AMONG_OTHERS);
+      const most = this.users.asked.filter((q) => q.ok).length * 2 > this.users.asked.length;
       for (const [id, job] of this.jobs) {
         if (!job.accepted) continue;
         if (most && now - job.answeredAt > UNANSWERED_AMONG_OTHERS) {
@@ -632,179 +611,7 @@
     this.broken.push(`${name} at ${Math.round(this.time.now)}: ${what}`);
   }
 
-  // --- users ------------------------------------------------------------------------------------
-
-  private readonly user = new ProcessClock(this.time, 0, 0);
-
-  /** Over the job's connection as long as that stands, else over a new one. */
-  private async ask(
-    method: 'GET' | 'POST',
-    path: string,
-    body: unknown,
-    timeout: number,
-    job?: Known,
-  ) {
-    const open = job?.connection;
-    let n =
-      open && this.nodes.get(open.n) === open.process && !this.balancer.resets(open.n)
-        ? open.n
-        : undefined;
-    const refused = new Set<number>();
-    for (let tries = 0; n === undefined && tries < 3; tries++) {
-      const chosen = this.balancer.choose(refused);
-      if (chosen === undefined) break;
-      if (this.nodes.has(chosen)) n = chosen;
-      else refused.add(chosen);
-    }
-    const process = n === undefined ? undefined : this.nodes.get(n);
-    if (job) job.connection = n === undefined || !process ? undefined : { n, process };
-    if (n === undefined) return undefined;
-    const endpoint = parseSettings(settingsFile(n, this.zones)).api;
-    const client = this.network.client('user', REGION, this.user);
-    const o = await client.send({ endpoint, method, path, body, timeout: ms(timeout) });
-    if (o.kind === 'answer') return o;
-    if (job) job.connection = undefined;
-    return undefined;
-  }
-
-  /** A user's job from its submission to its end; `abortAfter`: cancels it then. */
-  submit(change: Partial<JobSpec>, runMs: number, abortAfter?: number): string {
-    const id = `run-${String(++this.jobCounter).padStart(6, '0')}`;
-    const submitted = spec({ ...change, name_id: id });
-    const job: Known = {
-      spec: submitted,
-      gang: submitted.shape === 'ensemble' ? this.gangOf(submitted, runMs) : undefined,
-      runMs,
-      accepted: false,
-      told: 'pending',
-      abortAsked: false,
-      abortedAt: undefined,
-      completed: new Set(),
-      answeredAt: this.time.now,
-      besideRoomSince: undefined,
-      connection: undefined,
-    };
-    this.jobs.set(id, job);
-    this.keepSubmitting(id, job);
-    if (abortAfter !== undefined) {
-      this.time.after(abortAfter, () => this.cancel(id, job));
-    }
-    return id;
-  }
-
-  private gangOf(s: JobSpec, runMs: number): GangRun {
-    const facts = {
-      entries: s.entries,
-      runMs,
-      saveEveryMs: s.stamp_every_s * 1000,
-      saveMs: s.stamp_s * 1000,
-    };
-    const { gang_wait_s: wait, gang_peer_s: peer } = settingsFile(0).params.workers;
-    return new GangRun(
-      this.time,
-      facts,
-      { waitMs: wait * 1000, peerMs: peer * 1000 },
-      {
-        completed: () => {
-          for (let i = 0; i < s.entries; i++) this.completed(`${s.name_id}/${i}`);
-        },
-        broken: (what) => this.rule('gang', `${s.name_id}: ${what}`),
-      },
-    );
-  }
-
-  private keepSubmitting(id: string, job: Known): void {
-    void this.ask('POST', '/v1/jobs', job.spec, 5000, job).then((o) => {
-      if (o?.status === 201 || o?.status === 200) {
-        job.accepted = true;
-        job.answeredAt = this.time.now;
-        this.tell(id, job, o.body);
-        this.time.after(2000, () => this.keepPolling(id, job));
-      } else {
-        if (o?.status === 400 || o?.status === 422) this.rule('forgotten', `${id} got ${o.status}`);
-        this.time.after(1000, () => this.keepSubmitting(id, job));
-      }
-    });
-  }
-
-  private keepAborting(id: string, job: Known): void {
-    void this.ask('POST', `/v1/jobs/${id}/abort`, undefined, 5000, job).then((o) => {
-      if (o?.status === 200) this.tell(id, job, o.body);
-      else this.time.after(1000, () => this.keepAborting(id, job));
-    });
-  }
-
-  private keepPolling(id: string, job: Known): void {
-    void this.ask('GET', `/v1/jobs/${id}`, undefined, 2000, job).then((o) => {
-      const ok = o?.status === 200 || o?.status === 404;
-      if (ok) job.answeredAt = this.time.now;
-      this.asked.push({ at: this.time.now, ok });
-      if (o?.status === 404) this.rule('forgotten', id);
-      if (o?.status === 200) this.tell(id, job, o.body);
-      // Also after its end: the answer must stay.
-      this.time.after(this.isOver(job) ? 6000 : 3000, () => this.keepPolling(id, job));
-    });
-  }
-
-  private tell(id: string, job: Known, body: unknown): void {
-    const status = (body as { status: string }).status;
-    if (job.told === 'done' || job.told === 'aborted') {
-      if (status !== job.told) this.rule('went_back', `${id} was ${job.told}, is ${status}`);
-      return;
-    }
-    if (status === 'done' && job.completed.size < job.spec.entries) {
-      this.rule('not_done', `${id}: ${job.completed.size} of ${job.spec.entries}`);
-    }
-    if (status === 'aborted') {
-      if (!job.abortAsked) this.rule('went_back', `${id} was not cancelled by its user`);
-      job.abortedAt = this.time.now;
-    }
-    job.told = status;
-  }
-
-  private isOver(job: Known): boolean {
-    return job.told === 'done' || job.told === 'aborted';
-  }
-
-  /** Jobs that have not come to their end. */
-  unfinished(): string[] {
-    return [...this.jobs].filter(([, j]) => !this.isOver(j)).map(([id, j]) => `${id} ${j.told}`);
-  }
-
-  /**
-   * What users do that makes no sense: repeat the submission of a job that runs, cancel one that is done,
-   * and submit jobs that can't run (422) or that lack a field (400).
-   */
-  oddRequests(): void {
-    for (const [id, job] of this.jobs) {
-      if (job.accepted && this.random() < 0.2) {
-        const cancels = job.told === 'done' && this.random() < 0.5;
-        const path = cancels ? `/v1/jobs/${id}/abort` : '/v1/jobs';
-        void this.ask('POST', path, cancels ? undefined : job.spec, 5000).then((o) => {
-          if (o?.status === 200) this.tell(id, job, o.body);
-          if (o?.status === 400 || o?.status === 422 || o?.status === 404)
-            this.rule('forgotten', `${id} got ${o.status} for ${path}`);
-        });
-      }
-    }
-    const large = { ...spec({ vcpus: 1000 }) };
-    const lacking: Partial<JobSpec> = spec({});
-    delete lacking.entries;
-    for (const [body, status] of [
-      [{ ...large, name_id: `run-9${String(this.jobCounter).padStart(5, '0')}` }, 422],
-      [{ ...lacking, name_id: `run-8${String(this.jobCounter).padStart(5, '0')}` }, 400],
-    ] as const) {
-      void this.ask('POST', '/v1/jobs', body, 5000).then((o) => {
-        if (o === undefined || o.status === 503 || o.status === 429 || o.status === status) return;
-        this.rule('accepted', `${body.name_id} got ${o.status} instead of ${status}`);
-      });
-    }
-  }
-
-  /** Asks for a job that nobody submitted. */
-  probeUnknown(): void {
-    void this.ask('GET', '/v1/jobs/run-999999', undefined, 2000).then((o) => {
-      if (o?.status === 200) this.rule('invented', 'run-999999');
-    });
+  get jobs(): ReadonlyMap<string, Known> {
+    return this.users.jobs;
   }
 }
