--- a/src/leader/standby.ts
+++ b/src/leader/standby.ts
@@ -1,5 +1,6 @@
 /** Room to have standing by, so that the next job of a class that must start at once finds it. */
 import type { Objective } from '../config/settings.js';
+import { isGang } from '../ledger/job.js';
 import { isUrgent } from '../ledger/queue.js';
 import type { Reserve } from '../placer/placer.js';
 import { seconds, since, type SteadyMs } from '../units/index.js';
@@ -20,7 +21,7 @@
   at: SteadyMs;
 }
 
-/** What urgent work, and work whose start users wait for, has been coming lately, by image. */
+/** What urgent work, and gangs whose start users wait for, have been coming lately, by image. */
 export class StandbyWork {
   private readonly seen = new Map<string, Seen>();
   private readonly awaitedClasses: ReadonlySet<string>;
@@ -30,9 +31,12 @@
     this.awaitedClasses = new Set(awaited.map((o) => o.docket ?? ''));
   }
 
-  /** Whether room is kept for jobs like this one. */
+  /**
+   * Whether room is kept for jobs like this one: urgent ones, and gangs whose users wait for their start.
+   * Ordinary arrays start task by task in what room there is; room for them would be paid for by all.
+   */
   isExpected(spec: JobSpec): boolean {
-    return isUrgent(spec.urgency) || this.awaitedClasses.has(spec.docket);
+    return isUrgent(spec.urgency) || (isGang(spec) && this.awaitedClasses.has(spec.docket));
   }
 
   note(spec: JobSpec, now: SteadyMs): void {
