Tests: one play of a job, one comparison with production's messages

What test/unit/ledger and record-limits each had of placing and ending tasks at random is test/support/play.ts, with the machines and batches of each as they were; requests and responses of production are compared by one function.

--- a/test/unit/compatibility.test.ts
+++ b/test/unit/compatibility.test.ts
@@ -44,40 +44,35 @@
   message.body === undefined ? message : { ...message, body: Buffer.from(message.body, 'hex') };
 const asJson = (value: unknown): unknown => JSON.parse(JSON.stringify(value));
 
+/** Encodes what was recorded, and reads the recorded bytes: both must be what production has. */
+function assertSame<Message extends PeerRequest | PeerResponse>(
+  recorded: RecordedMessage,
+  encode: (id: number, message: Message) => Buffer,
+  decode: (bytes: Buffer) => { readonly message: Message },
+): void {
+  const message = withBody(recorded) as Message;
+  assert.equal(encode(recorded.id, message).toString('hex'), recorded.bytes, message.type);
+  const back = decode(Buffer.from(recorded.bytes, 'hex'));
+  assert.deepEqual(asJson(back.message), asJson(message));
+}
+
 void test('messages between nodes are, byte for byte, those of the version in production', () => {
   assert.equal(production.requests.length, 9);
-  for (const recorded of production.requests) {
-    const message = withBody(recorded) as PeerRequest;
-    const bytes = encodeRequest(recorded.id, message);
-    assert.equal(bytes.toString('hex'), recorded.bytes, message.type);
-    const back = decodeRequest(Buffer.from(recorded.bytes, 'hex'));
-    assert.deepEqual(asJson(back.message), asJson(message));
-  }
+  for (const recorded of production.requests) assertSame(recorded, encodeRequest, decodeRequest);
   assert.equal(production.responses.length, 6);
-  for (const recorded of production.responses) {
-    const message = withBody(recorded) as PeerResponse;
-    const bytes = encodeResponse(recorded.id, message);
-    assert.equal(bytes.toString('hex'), recorded.bytes, message.type);
-    const back = decodeResponse(Buffer.from(recorded.bytes, 'hex'));
-    assert.deepEqual(asJson(back.message), asJson(message));
-  }
+  for (const recorded of production.responses) assertSame(recorded, encodeResponse, decodeResponse);
 });
 
 void test('records of the version in production are read, and written as it writes them', () => {
-  const limits = new RecordLimits({
-    rps: 80,
-    writeRps: 15,
-    valueBytes: 8192,
-    txnOps: 8,
-    next: { rps: 80, writeRps: 15, valueBytes: 2048, txnOps: 4 },
-  });
-  const lowered = new RecordLimits({
+  const falling = {
     rps: 80,
     writeRps: 15,
     valueBytes: 8192,
     txnOps: 8,
     next: { rps: 80, writeRps: 15, valueBytes: 2048, txnOps: 4 },
-  });
+  };
+  const limits = new RecordLimits(falling);
+  const lowered = new RecordLimits(falling);
   lowered.noteRefusal();
   assert.equal(production.records.length, 7);
   for (const { name, live, final } of production.records) {
--- a/test/unit/ledger.test.ts
+++ b/test/unit/ledger.test.ts
@@ -7,6 +7,7 @@
 import { Ranges } from '../../src/ledger/ranges.js';
 import { Epoch, JobId, MachineId, Revision, SteadyMs, WallMs } from '../../src/units/index.js';
 import { spec } from '../support/jobs.js';
+import { play, type Play } from '../support/play.js';
 
 const seed = 20260312;
 const now = SteadyMs(0);
@@ -39,24 +40,7 @@
   );
 });
 
-/** Plays placements, finishes and losses on a job as the leader would, lowest index first. */
-function play(job: Job, moves: readonly (readonly [number, number])[], limit: number): void {
-  for (const [kind, pick] of moves) {
-    const placed = [...job.placed.keys()];
-    const chosen = placed[pick % Math.max(1, placed.length)];
-    if (kind === 0) {
-      const tasks: { index: number; machine: MachineId }[] = [];
-      for (const index of job.waiting.indexes()) {
-        if (tasks.length > pick % 7 || job.open + tasks.length >= limit) break;
-        tasks.push({ index, machine: MachineId(`vm-${100000 + (pick % 28)}`) });
-      }
-      if (tasks.length > 0) job.place(tasks, now);
-    } else if (chosen !== undefined) {
-      if (kind === 1) job.finish(chosen);
-      else job.unplace(chosen);
-    }
-  }
-}
+const machineOf: Play['machineOf'] = (pick) => MachineId(`vm-${100000 + (pick % 28)}`);
 
 const moves = fc.array(fc.tuple(fc.nat(2), fc.nat(1000)), { maxLength: 200 });
 
@@ -64,7 +48,7 @@
   fc.assert(
     fc.property(moves, fc.boolean(), (list, aborted) => {
       const job = new Job(id, spec({ entries: 60 }), WallMs(5), Revision(7));
-      play(job, list, 60);
+      play(job, list, { limit: 60, batch: 7, machineOf });
       if (aborted) job.abort();
       const back = decodeJob(
         id,
@@ -96,7 +80,7 @@
   fc.assert(
     fc.property(long, (list) => {
       const job = new Job(id, wide, WallMs(Date.UTC(2026, 0)), Revision(123456));
-      play(job, list, limit);
+      play(job, list, { limit: limit, batch: 7, machineOf });
       assert.ok(sizeOf(encodeJob(job, Epoch(123456))) <= 8192);
     }),
     { seed, numRuns: 30 },
--- a/test/unit/record-limits.test.ts
+++ b/test/unit/record-limits.test.ts
@@ -22,6 +22,7 @@
 import { Network } from '../standin/network.js';
 import { StateService } from '../standin/state.js';
 import { spec } from '../support/jobs.js';
+import { play, type Play } from '../support/play.js';
 import { settingsFile } from '../support/settings.js';
 
 const seed = 20261202;
@@ -31,25 +32,10 @@
 const after: StateLimits = { rps: 80, writeRps: 15, valueBytes: 2048, txnOps: 4 };
 const lowering = { ...before, next: after };
 
-/** Plays placements, ends and losses at random on a job that keeps to a limit of open tasks. */
-function play(job: Job, moves: readonly (readonly [number, number])[], limit: number): void {
-  for (const [kind, pick] of moves) {
-    const placed = [...job.placed.keys()];
-    const chosen = placed[pick % Math.max(1, placed.length)];
-    if (kind === 0) {
-      const tasks: { index: number; machine: MachineId }[] = [];
-      for (const index of job.waiting.indexes()) {
-        if (tasks.length > pick % 9 || job.open + tasks.length >= limit) break;
-        const number = (pick * 7919 + index * 104729) % 16_000;
-        tasks.push({ index, machine: MachineId(`vm-${String(number).padStart(6, '0')}`) });
-      }
-      if (tasks.length > 0) job.place(tasks, now);
-    } else if (chosen !== undefined) {
-      if (kind === 1) job.finish(chosen);
-      else job.unplace(chosen);
-    }
-  }
-}
+const machineOf: Play['machineOf'] = (pick, index) => {
+  const number = (pick * 7919 + index * 104729) % 16_000;
+  return MachineId(`vm-${String(number).padStart(6, '0')}`);
+};
 
 const moves = (least: number, most: number) =>
   fc.array(fc.tuple(fc.constantFrom(0, 0, 1, 2), fc.nat(100_000)), {
@@ -79,7 +65,7 @@
     fc.property(moves(0, 60), specs, names, fc.boolean(), (list, change, odd, aborted) => {
       const job = new Job(id, spec({ entries: 60, ...change }), WallMs(1.7e12), Revision(7));
       job.place([{ index: 0, machine: MachineId(odd) }], now);
-      play(job, list, 60);
+      play(job, list, { limit: 60, batch: 9, machineOf });
       if (aborted) job.abort();
       job.zone = change.hall ?? undefined;
       const stored: unknown = JSON.parse(JSON.stringify(encodeJobCompactly(job, Epoch(3))));
@@ -105,7 +91,7 @@
     fc.assert(
       fc.property(moves(300, 900), (list) => {
         const job = new Job(id, wide, WallMs(1.7e12), Revision(123456));
-        play(job, list, open);
+        play(job, list, { limit: open, batch: 9, machineOf });
         const { record, bytes } = limits.encode(job, Epoch(123456));
         assert.equal(bytes, sizeOf(record));
         assert.ok(bytes <= after.valueBytes, `${bytes} bytes with ${job.open} open tasks`);
