Log and count what was missing from the incident: refusals, leadership, store reads, connections

Nobody could tell from the logs which controller led under which epoch, what it had read from the store, or why it refused a question. Every 10 s each controller now logs a "service summary": the leader and epoch that it knows, its own authority and readiness, the delay of its event loop, the responses by kind and status with the reason of each refusal (typed, RefusalReason), the requests to the store by outcome, and its connections by kind of client with those that were dropped. Recovery logs each listing that fails, and the election failed renewals and lapses of authority.

A ready leader that answers no question about a job for 60 s violates an invariant: it logs an error with job, epoch and reason.

No behaviour towards clients changes.

--- a/src/api/api-response.ts
+++ b/src/api/api-response.ts
@@ -1,5 +1,28 @@
 /** The response to an HTTP request, and the responses that several handlers share. */
 
+/** Why a request got no definite response and has to be repeated. */
+export type RefusalReason =
+  /** This controller alone is cut off from the store and its peers. */
+  | 'isolated'
+  /** No leader is known yet. */
+  | 'noLeader'
+  /** A peer relayed the request to this controller, which does not lead or still reads the records. */
+  | 'notReady'
+  /** The authority of this controller's term ended while it handled the request. */
+  | 'authorityLost'
+  /** The leader does not know the state, for example because a write is in flight or its outcome is unknown. */
+  | 'stateUncertain'
+  /** The job's creation is not committed. */
+  | 'notCommitted'
+  /** The store did not respond to a read or a write, or the rate budget refused it. */
+  | 'storeUnavailable'
+  /** The store responded so late that the state may be out of date. */
+  | 'storeLate'
+  /** The result of the request could not be determined in time. */
+  | 'deadlineExceeded'
+  /** Handling the request failed with an error. */
+  | 'internalError';
+
 /** An HTTP response before its body is encoded. */
 export interface ApiResponse {
   /** The HTTP status code. */
@@ -10,15 +33,22 @@
   readonly retryAfter?: number;
   /** Closes the connection, so that a new one may reach another controller. */
   readonly shouldCloseConnection?: boolean;
+  /** Why the request was refused; for the log and the metrics only, it is not sent. */
+  readonly refusal?: RefusalReason;
 }
 
 /** The request failed or its outcome is unknown: the client may repeat it a second later. */
-export const SERVICE_UNAVAILABLE: ApiResponse = { status: 503, retryAfter: 1 };
+export const serviceUnavailable = (refusal: RefusalReason): ApiResponse => ({
+  status: 503,
+  retryAfter: 1,
+  refusal,
+});
 /** This controller is isolated; another one may serve the request. */
 export const CONTROLLER_ISOLATED: ApiResponse = {
   status: 503,
   retryAfter: 1,
   shouldCloseConnection: true,
+  refusal: 'isolated',
 };
 /** The store or the leader found no record of the job, and looked after the request arrived. */
 export const NO_SUCH_JOB: ApiResponse = { status: 404, body: { error: 'no such job' } };
--- a/src/api/app.ts
+++ b/src/api/app.ts
@@ -2,23 +2,29 @@
 import Koa from 'koa';
 import type { Logger } from 'pino';
 import { readBody } from '../net/read-body.js';
+import { durationBetween, type Clock } from '../units/index.js';
 import { CONTENT_TYPE, MAX_BODY_BYTES, encode } from '../wire/index.js';
 import {
   BODY_TOO_LONG,
   METHOD_NOT_ALLOWED,
-  SERVICE_UNAVAILABLE,
+  serviceUnavailable,
   type ApiResponse,
 } from './api-response.js';
+import type { RequestKind, RequestMetrics } from './request-metrics.js';
 import type { UserRequestHandler } from './user-request-handler.js';
 import type { WorkerHeartbeatHandler } from './worker-heartbeat-handler.js';
 
 const HEALTH_PATH = '/up';
-const HEARTBEAT_PATH = '/agent/beat';
+/** The path of heartbeats; only workers request it. */
+export const HEARTBEAT_PATH = '/agent/beat';
+const CANCEL_PATH_END = '/abort';
 
 /** The handler for each kind of request. */
 export interface RequestHandlers {
   readonly userRequestHandler: Pick<UserRequestHandler, 'handle'>;
   readonly workerHeartbeatHandler: Pick<WorkerHeartbeatHandler, 'handle'>;
+  readonly requestMetrics: Pick<RequestMetrics, 'record'>;
+  readonly clock: Pick<Clock, 'steady'>;
   health(): ApiResponse;
 }
 
@@ -29,7 +35,10 @@
     log.debug({ err: error.message }, 'HTTP connection to a client failed'),
   );
   app.use(async (ctx) => {
+    const startedAt = handlers.clock.steady();
     const response = await handleRequest(handlers, ctx, log);
+    const duration = durationBetween(startedAt, handlers.clock.steady());
+    handlers.requestMetrics.record(requestKind(ctx.method, ctx.path), response, duration);
     ctx.status = response.status;
     if (response.retryAfter !== undefined) ctx.set('Retry-After', String(response.retryAfter));
     if (response.shouldCloseConnection) ctx.set('Connection', 'close');
@@ -39,6 +48,13 @@
   return app;
 }
 
+function requestKind(method: string, path: string): RequestKind {
+  if (path === HEALTH_PATH) return 'health';
+  if (path === HEARTBEAT_PATH) return 'heartbeat';
+  if (method === 'GET') return 'read';
+  return path.endsWith(CANCEL_PATH_END) ? 'cancel' : 'submit';
+}
+
 async function handleRequest(
   handlers: RequestHandlers,
   ctx: Koa.Context,
@@ -58,6 +74,6 @@
     return await handlers.userRequestHandler.handle(ctx.method, ctx.path, body);
   } catch (error) {
     log.error({ err: error }, 'handling an HTTP request failed; the client is told to retry');
-    return SERVICE_UNAVAILABLE;
+    return serviceUnavailable('internalError');
   }
 }
--- a/src/api/job-handler.ts
+++ b/src/api/job-handler.ts
@@ -7,7 +7,7 @@
 import { STORE_RESPONSE_TTL, leaderJobResponse, storedJobResponse } from './job-responses.js';
 import { sendToLeader } from './leader-request.js';
 import type { LeaderView, RelayPolicy } from './leader-view.js';
-import { NO_SUCH_JOB, SERVICE_UNAVAILABLE, type ApiResponse } from './api-response.js';
+import { NO_SUCH_JOB, serviceUnavailable, type ApiResponse } from './api-response.js';
 
 const READ_TIMEOUT = ms(1200);
 const CANCEL_TIMEOUT = ms(1500);
@@ -23,7 +23,7 @@
     private readonly clock: Clock,
   ) {}
 
-  /** Returns the state of a job, or `SERVICE_UNAVAILABLE` if the state is not certain. */
+  /** Returns the state of a job, or a 503 if the state is not certain. */
   async read(id: string, policy: RelayPolicy): Promise<ApiResponse> {
     if (!JOB_ID_PATTERN.test(id)) return NO_SUCH_JOB;
     const route = this.leaderView.routeFor(policy);
@@ -44,10 +44,12 @@
     // A job that is not final may have changed while a late response was in transit, and the user may
     // already know the newer state.
     const isLate = durationBetween(requestedAt, this.clock.steady()) > STORE_RESPONSE_TTL;
-    return isLate && stored.kind !== 'final' ? SERVICE_UNAVAILABLE : storedJobResponse(id, stored);
+    return isLate && stored.kind !== 'final'
+      ? serviceUnavailable('storeLate')
+      : storedJobResponse(id, stored);
   }
 
-  /** Cancels a job and returns its state once that is committed, or `SERVICE_UNAVAILABLE` if the outcome is unknown. */
+  /** Cancels a job and returns its state once that is committed, or a 503 if the outcome is unknown. */
   async cancel(id: string, policy: RelayPolicy): Promise<ApiResponse> {
     if (!JOB_ID_PATTERN.test(id)) return NO_SUCH_JOB;
     const route = this.leaderView.routeFor(policy);
@@ -69,7 +71,7 @@
     // A leader exists but can't be reached: the cancellation is requested through the store, where the
     // leader records the result.
     if (policy === 'handleLocally' || !(await this.jobRecords.requestCancellation(JobId(id)))) {
-      return SERVICE_UNAVAILABLE;
+      return serviceUnavailable('storeUnavailable');
     }
     return this.awaitCancellation(id);
   }
@@ -83,7 +85,7 @@
         return storedJobResponse(id, stored);
       }
     }
-    return SERVICE_UNAVAILABLE;
+    return serviceUnavailable('deadlineExceeded');
   }
 
   /**
@@ -99,6 +101,8 @@
     // While this process waited or was suspended, a peer may have become the leader and have shown users a
     // later state than the one known here. A final state does not change.
     const isAuthorised = result.kind === 'final' || this.leaderView.authorisedTerm() === term;
-    return isAuthorised ? leaderJobResponse(id, result, absent) : SERVICE_UNAVAILABLE;
+    return isAuthorised
+      ? leaderJobResponse(id, result, absent)
+      : serviceUnavailable('authorityLost');
   }
 }
--- a/src/api/job-responses.ts
+++ b/src/api/job-responses.ts
@@ -4,7 +4,7 @@
 import type { JobLookupResult } from '../leader/job-requests.js';
 import { ms, type DurationMs } from '../units/index.js';
 import { JobStatus, encodeJobState } from '../wire/index.js';
-import { NO_SUCH_JOB, SERVICE_UNAVAILABLE, type ApiResponse } from './api-response.js';
+import { NO_SUCH_JOB, serviceUnavailable, type ApiResponse } from './api-response.js';
 
 /** A response of the store may be out of date after this time. */
 export const STORE_RESPONSE_TTL = ms(250);
@@ -31,7 +31,7 @@
     case 'absent':
       return NO_SUCH_JOB;
     case 'unknown':
-      return SERVICE_UNAVAILABLE;
+      return serviceUnavailable('storeUnavailable');
   }
 }
 
@@ -46,13 +46,13 @@
       // Revision 0 is not committed yet, so the submission may still fail.
       return result.job.revision > 0
         ? { status: 200, body: liveBody(result.job) }
-        : SERVICE_UNAVAILABLE;
+        : serviceUnavailable('notCommitted');
     case 'final':
       return { status: 200, body: finalBody(id, result.final) };
     case 'absent':
       return absent;
     case 'unknown':
-      return SERVICE_UNAVAILABLE;
+      return serviceUnavailable('stateUncertain');
   }
 }
 
--- a/src/api/peer-request-handler.ts
+++ b/src/api/peer-request-handler.ts
@@ -1,11 +1,18 @@
 /** Handles the requests that the peers send to this controller. */
 import type { HttpClient } from '../net/http.js';
-import type { MachineImages, PeerRequest, PeerResponse, PeerStatus } from '../peer/messages.js';
+import type {
+  MachineImages,
+  PeerRequest,
+  PeerResponse,
+  PeerStatus,
+  UserPeerRequest,
+} from '../peer/messages.js';
 import { sendCommandsToWorker } from '../relay/worker-commands.js';
-import { JobId } from '../units/index.js';
+import { JobId, durationBetween, type Clock } from '../units/index.js';
 import { encode } from '../wire/index.js';
 import type { LeaderView } from './leader-view.js';
 import type { ApiResponse } from './api-response.js';
+import type { RequestMetrics } from './request-metrics.js';
 import type { UserRequestHandler } from './user-request-handler.js';
 import type { WorkerHeartbeatHandler } from './worker-heartbeat-handler.js';
 
@@ -21,6 +28,8 @@
   readonly leaderView: LeaderView;
   readonly userRequestHandler: UserRequestHandler;
   readonly workerHeartbeatHandler: WorkerHeartbeatHandler;
+  readonly requestMetrics: Pick<RequestMetrics, 'record'>;
+  readonly clock: Pick<Clock, 'steady'>;
   readonly http: HttpClient;
   readonly events: PeerEvents;
 }
@@ -31,7 +40,7 @@
 
   /** Handles a request according to its type. */
   async handle(request: PeerRequest): Promise<PeerResponse> {
-    const { events, http, userRequestHandler, workerHeartbeatHandler } = this.deps;
+    const { events, http, workerHeartbeatHandler } = this.deps;
     switch (request.type) {
       case 'peerHeartbeat':
         return { type: 'peerStatus', status: events.onHeartbeat(request.status) };
@@ -51,10 +60,18 @@
       case 'submitJob':
       case 'readJob':
       case 'cancelJob':
-        return toUserResponse(await userRequestHandler.handleRelayed(request));
+        return this.handleUserRequest(request);
     }
   }
 
+  private async handleUserRequest(request: UserPeerRequest): Promise<PeerResponse> {
+    const { clock, requestMetrics, userRequestHandler } = this.deps;
+    const startedAt = clock.steady();
+    const response = await userRequestHandler.handleRelayed(request);
+    requestMetrics.record('relayed', response, durationBetween(startedAt, clock.steady()));
+    return toUserResponse(response);
+  }
+
   /** Loads a job that a peer wrote to the store; false if this controller does not lead or is not ready. */
   private async loadJob(id: JobId): Promise<boolean> {
     const term = this.deps.leaderView.authorisedTerm();
--- a/src/api/submission-handler.ts
+++ b/src/api/submission-handler.ts
@@ -19,7 +19,7 @@
 import { STORE_RESPONSE_TTL, busyResponse, createdResponse } from './job-responses.js';
 import { sendToLeader } from './leader-request.js';
 import type { LeaderView, RelayPolicy } from './leader-view.js';
-import { SERVICE_UNAVAILABLE, type ApiResponse } from './api-response.js';
+import { serviceUnavailable, type ApiResponse } from './api-response.js';
 
 /**
  * A controller that gets no response in time writes the record itself, if none exists. That costs more than a
@@ -178,12 +178,12 @@
         return outcome.isLate ? jobHandler.read(id, policy) : createdResponse(id);
       case 'exists': {
         const known = await jobHandler.read(id, policy);
-        return known.status === 404 ? SERVICE_UNAVAILABLE : known;
+        return known.status === 404 ? serviceUnavailable('storeLate') : known;
       }
       case 'busy':
         return busyResponse(outcome.wait);
       case 'unknown':
-        return SERVICE_UNAVAILABLE;
+        return serviceUnavailable('storeUnavailable');
     }
   }
 
@@ -194,7 +194,12 @@
       case 'busy':
         return busyResponse(outcome.wait);
       default:
-        return this.deps.jobHandler.responseIfAuthorised(term, id, outcome, SERVICE_UNAVAILABLE);
+        return this.deps.jobHandler.responseIfAuthorised(
+          term,
+          id,
+          outcome,
+          serviceUnavailable('notCommitted'),
+        );
     }
   }
 }
--- a/src/api/user-request-handler.ts
+++ b/src/api/user-request-handler.ts
@@ -9,17 +9,18 @@
 import type { UserPeerRequest } from '../peer/messages.js';
 import { ms, type Clock } from '../units/index.js';
 import { JobHandler } from './job-handler.js';
-import type { LeaderView } from './leader-view.js';
+import type { LeaderView, RelayPolicy } from './leader-view.js';
 import {
   CONTROLLER_ISOLATED,
   METHOD_NOT_ALLOWED,
   NO_SUCH_PATH,
-  SERVICE_UNAVAILABLE,
+  serviceUnavailable,
   type ApiResponse,
 } from './api-response.js';
 import { SubmissionHandler } from './submission-handler.js';
+import { UnansweredJobs } from './unanswered-jobs.js';
 
-/** A user's request that takes longer than this gets its final response, `SERVICE_UNAVAILABLE`. */
+/** A user's request that takes longer than this gets its final response, a 503. */
 const MAX_REQUEST_TIME = ms(2500);
 
 const JOBS_PATH = '/v1/jobs';
@@ -41,9 +42,11 @@
 export class UserRequestHandler {
   private readonly jobHandler: JobHandler;
   private readonly submissionHandler: SubmissionHandler;
+  private readonly unansweredJobs: UnansweredJobs;
 
   constructor(private readonly deps: UserRequestDependencies) {
     this.jobHandler = new JobHandler(deps.leaderView, deps.jobRecords, deps.clock);
+    this.unansweredJobs = new UnansweredJobs(deps.clock, deps.log);
     this.submissionHandler = new SubmissionHandler({ ...deps, jobHandler: this.jobHandler });
   }
 
@@ -57,7 +60,7 @@
     const jobId = JOB_PATH.exec(path)?.[1];
     if (jobId !== undefined) {
       if (method !== 'GET') return METHOD_NOT_ALLOWED;
-      return this.withDeadline(this.jobHandler.read(jobId, 'relay'));
+      return this.read(jobId, 'relay');
     }
     const cancelledJobId = CANCEL_PATH.exec(path)?.[1];
     if (cancelledJobId !== undefined) {
@@ -72,21 +75,30 @@
    * send it round in a loop.
    */
   async handleRelayed(request: UserPeerRequest): Promise<ApiResponse> {
-    if (!this.deps.leaderView.authorisedTerm()?.isReady) return SERVICE_UNAVAILABLE;
+    if (!this.deps.leaderView.authorisedTerm()?.isReady) return serviceUnavailable('notReady');
     switch (request.type) {
       case 'submitJob':
         return this.withDeadline(this.submissionHandler.submit(request.body, 'handleLocally'));
       case 'readJob':
-        return this.withDeadline(this.jobHandler.read(request.job, 'handleLocally'));
+        return this.read(request.job, 'handleLocally');
       case 'cancelJob':
         return this.withDeadline(this.jobHandler.cancel(request.job, 'handleLocally'));
     }
   }
 
-  /** Responds with `SERVICE_UNAVAILABLE` if the work takes longer than `MAX_REQUEST_TIME` or fails. */
+  private async read(job: string, policy: RelayPolicy): Promise<ApiResponse> {
+    const response = await this.withDeadline(this.jobHandler.read(job, policy));
+    const term = this.deps.leaderView.authorisedTerm();
+    this.unansweredJobs.record(job, response, term?.isReady ? term.epoch : undefined);
+    return response;
+  }
+
+  /** Responds with a 503 if the work takes longer than `MAX_REQUEST_TIME` or fails. */
   private withDeadline(work: Promise<ApiResponse>): Promise<ApiResponse> {
     return new Promise((resolve) => {
-      const timer = this.deps.clock.after(MAX_REQUEST_TIME, () => resolve(SERVICE_UNAVAILABLE));
+      const timer = this.deps.clock.after(MAX_REQUEST_TIME, () =>
+        resolve(serviceUnavailable('deadlineExceeded')),
+      );
       work.then(
         (response) => {
           timer.cancel();
@@ -98,7 +110,7 @@
             { err: error },
             "handling a user's request failed; the user is told to retry",
           );
-          resolve(SERVICE_UNAVAILABLE);
+          resolve(serviceUnavailable('internalError'));
         },
       );
     });
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -2,7 +2,8 @@
 import type { Logger } from 'pino';
 import { LeaderView } from './api/leader-view.js';
 import { PeerRequestHandler } from './api/peer-request-handler.js';
-import { CONTROLLER_ISOLATED, SERVICE_UNAVAILABLE, type ApiResponse } from './api/api-response.js';
+import { CONTROLLER_ISOLATED, serviceUnavailable, type ApiResponse } from './api/api-response.js';
+import { RequestMetrics } from './api/request-metrics.js';
 import { UserRequestHandler } from './api/user-request-handler.js';
 import { WorkerHeartbeatHandler } from './api/worker-heartbeat-handler.js';
 import { CloudClient } from './cloud/client.js';
@@ -21,6 +22,7 @@
 import { PeerLiveness, isRecentResponse } from './peer/peer-liveness.js';
 import type { MachineImages, PeerStatus } from './peer/messages.js';
 import { HeartbeatRelay } from './relay/heartbeat-relay.js';
+import { ServiceLog } from './service-log.js';
 import { StoreClient } from './store/client.js';
 import { runInBackground } from './units/run-in-background.js';
 import { ControllerId, ms, type Clock, type Epoch, type Random } from './units/index.js';
@@ -44,6 +46,9 @@
   readonly workerHeartbeatHandler: WorkerHeartbeatHandler;
   readonly peerRequestHandler: PeerRequestHandler;
   readonly election: Election;
+  readonly requestMetrics = new RequestMetrics();
+  /** Reports the connections of the server, once there is one. */
+  connections: (() => object) | undefined;
   private readonly store: StoreClient;
   private readonly recordLimits: RecordLimits;
   private readonly jobRecords: JobRecords;
@@ -53,6 +58,7 @@
   private readonly peerLiveness: PeerLiveness;
   private readonly leaderView: LeaderView;
   private readonly imageHints = new ImageHintCache();
+  private readonly serviceLog: ServiceLog;
   private hasSeenLeader = false;
 
   constructor(
@@ -94,6 +100,30 @@
     this.userRequestHandler = this.createUserRequestHandler();
     this.workerHeartbeatHandler = this.createWorkerHeartbeatHandler();
     this.peerRequestHandler = this.createPeerRequestHandler();
+    this.serviceLog = this.createServiceLog();
+  }
+
+  /** The clock by which requests are timed. */
+  get clock(): Clock {
+    return this.environment.clock;
+  }
+
+  private createServiceLog(): ServiceLog {
+    const { clock, log } = this.environment;
+    const { election, leaderView, requestMetrics } = this;
+    return new ServiceLog({
+      clock,
+      log,
+      requestMetrics,
+      storeMetrics: this.store.metrics,
+      leadership: () => ({
+        leader: election.leader(),
+        leaderEpoch: election.leaderEpoch(),
+        authority: election.authority(),
+        isReady: leaderView.term?.isReady === true,
+      }),
+      connections: () => this.connections?.(),
+    });
   }
 
   private createElection(): Election {
@@ -147,6 +177,8 @@
   private createPeerRequestHandler(): PeerRequestHandler {
     const { clock, http } = this.environment;
     return new PeerRequestHandler({
+      requestMetrics: this.requestMetrics,
+      clock,
       leaderView: this.leaderView,
       userRequestHandler: this.userRequestHandler,
       workerHeartbeatHandler: this.workerHeartbeatHandler,
@@ -222,7 +254,7 @@
    */
   health(): ApiResponse {
     this.hasSeenLeader ||= this.election.leader() !== undefined;
-    if (!this.hasSeenLeader) return SERVICE_UNAVAILABLE;
+    if (!this.hasSeenLeader) return serviceUnavailable('noLeader');
     if (this.isIsolated()) return CONTROLLER_ISOLATED;
     return { status: 200, body: { node: this.settings.controllerId } };
   }
@@ -236,10 +268,12 @@
       'reading machine types from the state store',
     );
     this.peerLiveness.start();
+    this.serviceLog.start();
   }
 
   /** For tests: ends all periodic work, as if the process had been killed. */
   stop(): void {
+    this.serviceLog.stop();
     this.catalogSync.stop();
     this.election.stop();
     this.peerLiveness.stop();
--- a/src/leader/election.ts
+++ b/src/leader/election.ts
@@ -151,6 +151,7 @@
     if (this.heldLease !== lease) return;
     switch (result) {
       case 'renewed':
+        this.logRestoredAuthority(lease, sentAt);
         lease.validUntil = this.authorityEndsAt(sentAt);
         await this.delay(ms(Math.max(0, sentAt + timing.renewInterval - clock.steady())));
         break;
@@ -158,10 +159,23 @@
         this.endTerm('the lease of the leader key expired');
         break;
       case 'failed':
+        this.logFailedRenewal(lease);
         await this.delayBeforeRetry();
     }
   }
 
+  private logRestoredAuthority({ epoch, validUntil }: HeldLease, sentAt: SteadyMs): void {
+    if (sentAt < validUntil) return;
+    const lapsedMs = Math.round(durationBetween(validUntil, sentAt));
+    this.deps.log.warn({ epoch, lapsedMs }, 'election: authority had lapsed; the lease is renewed');
+  }
+
+  private logFailedRenewal({ epoch, validUntil }: HeldLease): void {
+    const { clock, log } = this.deps;
+    const remainingMs = Math.round(durationBetween(clock.steady(), validUntil));
+    log.info({ epoch, remainingMs }, 'election: the lease could not be renewed; retrying');
+  }
+
   private async followOrAcquire(key: LeaderKeyState): Promise<void> {
     switch (key.kind) {
       case 'unreadable':
--- a/src/leader/job-recovery.ts
+++ b/src/leader/job-recovery.ts
@@ -5,7 +5,15 @@
 import type { Job } from '../ledger/job.js';
 import type { RecordLimits } from '../ledger/record-limits.js';
 import type { StoreClient } from '../store/client.js';
-import { JobId, ms, sleep, type Clock, type Timer } from '../units/index.js';
+import {
+  JobId,
+  durationBetween,
+  ms,
+  sleep,
+  type Clock,
+  type SteadyMs,
+  type Timer,
+} from '../units/index.js';
 
 const STORE_TIMEOUT = ms(2000);
 const RETRY_DELAY = ms(300);
@@ -26,13 +34,16 @@
   readonly completionOrTimeout: Promise<void>;
   private endWait: () => void = () => undefined;
   private readonly timer: Timer;
+  private readonly startedAt: SteadyMs;
   private isClosed = false;
+  private failedListings = 0;
 
   constructor(
     private readonly deps: JobRecoveryDependencies,
     /** Receives each job that was read. */
     private readonly onJobRead: (job: Job) => void,
   ) {
+    this.startedAt = deps.clock.steady();
     this.completionOrTimeout = new Promise((resolve) => (this.endWait = resolve));
     this.timer = deps.clock.after(MAX_HEARTBEAT_WAIT, () => this.endWait());
   }
@@ -57,11 +68,22 @@
         }
         return true;
       }
+      this.logFailure();
       await sleep(this.deps.clock, RETRY_DELAY);
     }
     return false;
   }
 
+  private logFailure(): void {
+    this.failedListings++;
+    const { clock, log } = this.deps;
+    const elapsedMs = Math.round(durationBetween(this.startedAt, clock.steady()));
+    log.warn(
+      { failedListings: this.failedListings, elapsedMs },
+      'recovery: the records could not be listed; the listing starts again',
+    );
+  }
+
   /** Stops recovery and resolves `completionOrTimeout`, whether or not the records have been read. */
   close(): void {
     this.isClosed = true;
--- a/src/servers.ts
+++ b/src/servers.ts
@@ -2,6 +2,7 @@
 import http from 'node:http';
 import type { Logger } from 'pino';
 import { createApp } from './api/app.js';
+import { ConnectionMetrics } from './api/connection-metrics.js';
 import type { Settings } from './config/settings.js';
 import type { Controller } from './controller.js';
 import { createPeerServer } from './peer/peer-server.js';
@@ -34,6 +35,8 @@
 ): void {
   const api = createApiServer(controller, settings, log);
   api.maxConnections = maxApiConnections;
+  const connectionMetrics = new ConnectionMetrics(api);
+  controller.connections = () => connectionMetrics.takeReport();
   const peers = createPeerServer((request) => controller.peerRequestHandler.handle(request), log);
   listenWithRetries(
     [
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -22,6 +22,7 @@
   type StoreWrite,
 } from '../wire/index.js';
 import { RequestQueue } from './request-queue.js';
+import { StoreMetrics } from './store-metrics.js';
 import { RateBudget, type Role, type StoreRateLimits } from './rate-budget.js';
 import type {
   CommitResult,
@@ -63,6 +64,8 @@
   private readonly budget: RateBudget;
   private readonly queue: RequestQueue;
   private lastResponseTime: SteadyMs;
+  /** The outcomes of all requests. */
+  readonly metrics = new StoreMetrics();
 
   constructor({ http, endpoint, clock, random, limits, controllerCount }: StoreClientOptions) {
     this.http = http;
@@ -111,6 +114,7 @@
     const { urgent = false, queueTimeout: patience = ms(Infinity) } = options;
     if (urgent) this.budget.forceTake(writes);
     else if (!(await this.queue.waitForTurn(writes, patience))) {
+      this.metrics.recordRefusal(requestName(request.path));
       return { kind: 'undelivered', reason: 'rate budget exhausted until the queue timeout' };
     }
     const outcome = await this.http.send({
@@ -118,6 +122,7 @@
       pool: urgent ? 'lease' : 'store',
       endpoint: this.endpoint,
     });
+    this.metrics.record(requestName(request.path), outcome);
     if (outcome.kind !== 'response') return outcome;
     if (outcome.status !== 503) this.lastResponseTime = this.clock.steady();
     if (outcome.status === 429) this.budget.onThrottled(writes);
@@ -215,6 +220,14 @@
   }
 }
 
+/** The name under which a request is counted. */
+function requestName(path: string): string {
+  if (path.startsWith('/store/')) return 'get';
+  if (path.startsWith('/store?')) return 'list';
+  if (path.startsWith('/follow')) return 'watch';
+  return path === '/multi' ? 'transact' : 'lease';
+}
+
 /** Converts the outcome of a request into the result of its transaction. */
 function toCommitResult(outcome: HttpOutcome): CommitResult {
   if (outcome.kind === 'unknown') return { kind: 'unknown', reason: outcome.reason };
