Recovery reads a failed page of records again instead of beginning anew

What callers saw: after all controllers restarted, no question about any job got an answer for as long as the users kept asking (simulated cluster, 2,400 live jobs, a store with 80 requests a second).

Cause: recovery sent its pages past the rate budget, and began the listing anew when one of them failed. While there is no ready leader the followers spend their share of the store's rate on users' questions, so a listing of 60 pages ran into a 429, began again with an even emptier bucket, and so on: it could not end as long as there were questions, and each attempt took the store's rate away from the questions. A limit that holds on every other path was bypassed on this one.

Fix: a failed page is requested again from where the listing stands, and pages wait for the controller's rate budget, ahead of its queue. Each page that is read brings the leader closer to the end whatever else the store serves, and the renewals of its lease are not rejected because of its own reads. A page that was read before a write of another controller is as valid as it was within one listing: only creations and cancellations without a leader can change records meanwhile, the former leave an inbox entry, the latter require that the leader key is absent.

--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -3,6 +3,7 @@
 import {
   Revision,
   ms,
+  sleep,
   type Clock,
   type DurationMs,
   type Endpoint,
@@ -26,7 +27,9 @@
 import { RateBudget, type Role, type StoreRateLimits } from './rate-budget.js';
 import type {
   CommitResult,
+  ListItem,
   ListResult,
+  PageResult,
   ReadResult,
   RenewalResult,
   WatchResult,
@@ -39,8 +42,13 @@
 
 /** How a request is sent. */
 export interface RequestOptions {
-  /** Sent at once, regardless of the rate budget, on separate connections: for leases and for recovery after a failover. */
+  /** Sent at once, regardless of the rate budget, on separate connections: for leases and the leader key. */
   readonly urgent?: boolean;
+  /**
+   * Sent as soon as the rate budget allows, ahead of the queue, on separate connections: for recovery after a failover.
+   * The store would reject what exceeds its rate, and lease renewals with it.
+   */
+  readonly aheadOfQueue?: boolean;
   /** How long the request may wait in the queue; by default without limit. */
   readonly queueTimeout?: DurationMs;
 }
@@ -111,15 +119,13 @@
     options: RequestOptions = {},
     writes = 0,
   ): Promise<HttpOutcome> {
-    const { urgent = false, queueTimeout: patience = ms(Infinity) } = options;
-    if (urgent) this.budget.forceTake(writes);
-    else if (!(await this.queue.waitForTurn(writes, patience))) {
+    if (!(await this.waitForTurn(options, writes))) {
       this.metrics.recordRefusal(requestName(request.path));
       return { kind: 'undelivered', reason: 'rate budget exhausted until the queue timeout' };
     }
     const outcome = await this.http.send({
       ...request,
-      pool: urgent ? 'lease' : 'store',
+      pool: options.urgent || options.aheadOfQueue ? 'lease' : 'store',
       endpoint: this.endpoint,
     });
     this.metrics.record(requestName(request.path), outcome);
@@ -129,6 +135,18 @@
     return outcome;
   }
 
+  /** Takes the tokens for a request once it may be sent. False if it would wait in the queue for too long. */
+  private async waitForTurn(
+    { urgent, aheadOfQueue, queueTimeout = ms(Infinity) }: RequestOptions,
+    writes: number,
+  ): Promise<boolean> {
+    if (!urgent && !aheadOfQueue) return this.queue.waitForTurn(writes, queueTimeout);
+    const wait = this.budget.waitFor(writes);
+    if (!urgent && wait > 0) await sleep(this.clock, wait);
+    this.budget.forceTake(writes);
+    return true;
+  }
+
   /** Reads one key. */
   async get(key: string, timeout: DurationMs, options: RequestOptions = {}): Promise<ReadResult> {
     const outcome = await this.send({ method: 'GET', path: `/store/${key}`, timeout }, options);
@@ -146,25 +164,36 @@
     timeout: DurationMs,
     options: RequestOptions = {},
   ): Promise<ListResult | undefined> {
-    const items: ListResult['items'][number][] = [];
-    let from: string | undefined;
+    const items: ListItem[] = [];
+    let after: string | undefined;
     for (;;) {
-      // Keys contain no characters that must be escaped in a query.
-      const after = from === undefined ? '' : `&from=${from}`;
-      const path = `/store?starts=${prefix}${after}&limit=${PAGE_SIZE}`;
-      const outcome = await this.send({ method: 'GET', path, timeout }, options);
-      if (outcome.kind !== 'response' || outcome.status !== 200) return undefined;
-      const page = decodeValuePage(outcome.body);
-      if (!page) return undefined;
-      for (const { key, data, revision } of page.values) {
-        items.push({ key, data, revision: Revision(revision) });
-      }
-      const last = page.values.at(-1);
-      if (!page.hasNext || !last) return { items, revision: Revision(page.revision) };
-      from = last.key;
+      const page = await this.listPage(prefix, after, timeout, options);
+      if (page.kind === 'failed') return undefined;
+      items.push(...page.items);
+      if (page.next === undefined) return { items, revision: page.revision };
+      after = page.next;
     }
   }
 
+  /** Reads the first keys under a prefix that follow the key `after`. */
+  async listPage(
+    prefix: string,
+    after: string | undefined,
+    timeout: DurationMs,
+    options: RequestOptions = {},
+  ): Promise<PageResult> {
+    // Keys contain no characters that must be escaped in a query.
+    const from = after === undefined ? '' : `&from=${after}`;
+    const path = `/store?starts=${prefix}${from}&limit=${PAGE_SIZE}`;
+    const outcome = await this.send({ method: 'GET', path, timeout }, options);
+    if (outcome.kind !== 'response') return { kind: 'failed', reason: outcome.reason };
+    const page = outcome.status === 200 ? decodeValuePage(outcome.body) : undefined;
+    if (!page) return { kind: 'failed', reason: `status ${outcome.status}` };
+    const items = page.values.map((value) => ({ ...value, revision: Revision(value.revision) }));
+    const next = page.hasNext ? items.at(-1)?.key : undefined;
+    return { kind: 'page', items, revision: Revision(page.revision), next };
+  }
+
   /** Applies all writes if all conditions hold, otherwise none. */
   async transact(
     conditions: readonly StoreCondition[],
--- a/src/store/results.ts
+++ b/src/store/results.ts
@@ -28,13 +28,29 @@
   /** It may have been executed, or may still be: the keys must be read to find out. */
   | { readonly kind: 'unknown'; readonly reason: string };
 
+/** A key in a list. */
+export interface ListItem {
+  readonly key: string;
+  readonly data: unknown;
+  /** The revision of the key's last change. */
+  readonly revision: Revision;
+}
+
+/** A part of the keys under a prefix, in the order of the keys. `failed`: nothing was read. */
+export type PageResult =
+  | {
+      readonly kind: 'page';
+      readonly items: readonly ListItem[];
+      /** The store's revision when the page was read. */
+      readonly revision: Revision;
+      /** The key after which the next page starts; undefined after the last page. */
+      readonly next: string | undefined;
+    }
+  | { readonly kind: 'failed'; readonly reason: string };
+
 /** Every key under a prefix. */
 export interface ListResult {
-  readonly items: readonly {
-    readonly key: string;
-    readonly data: unknown;
-    readonly revision: Revision;
-  }[];
+  readonly items: readonly ListItem[];
   /** The store's revision when the last page was read. */
   readonly revision: Revision;
 }
