--- a/src/servers.ts
+++ b/src/servers.ts
@@ -1,10 +1,10 @@
 /** The sockets that a controller listens on: one for users and workers, one for the other controllers. */
 import http from 'node:http';
 import type { Logger } from 'pino';
-import { createApp } from './api/app.js';
+import { createApp, type RequestHandlers } from './api/app.js';
 import { ConnectionMetrics } from './api/connection-metrics.js';
 import type { Settings } from './config/settings.js';
-import type { Controller } from './controller.js';
+import type { PeerHandler } from './peer/peer.js';
 import { createPeerServer } from './peer/peer-server.js';
 import type { Endpoint } from './units/index.js';
 
@@ -26,13 +26,26 @@
   readonly clients: string;
 }
 
+/** What the servers use of a controller. */
+export interface ServedController extends RequestHandlers {
+  readonly peerRequestHandler: { readonly handle: PeerHandler };
+  /** Set to a function that reports the connections. */
+  connections: (() => object) | undefined;
+}
+
+/** The running servers of a controller. */
+export interface RunningServers {
+  /** Stops listening and closes all connections. */
+  close(): void;
+}
+
 /** Listens for requests to the controller. Retries without limit if a socket cannot be opened. */
 export function startServers(
-  controller: Controller,
+  controller: ServedController,
   settings: Settings,
   maxApiConnections: number,
   log: Logger,
-): void {
+): RunningServers {
   const api = createApiServer(controller, settings, log);
   api.maxConnections = maxApiConnections;
   const connectionMetrics = new ConnectionMetrics(api);
@@ -45,9 +58,20 @@
     ],
     log,
   );
+  return {
+    close: () => {
+      api.close();
+      api.closeAllConnections();
+      peers.close();
+    },
+  };
 }
 
-function createApiServer(controller: Controller, { workers }: Settings, log: Logger): http.Server {
+function createApiServer(
+  controller: RequestHandlers,
+  { workers }: Settings,
+  log: Logger,
+): http.Server {
   const idleTimeout = Math.max(
     MIN_IDLE_TIMEOUT_MS,
     workers.heartbeatInterval * IDLE_TIMEOUT_HEARTBEATS,
