Hold placement to its share of the leader's time on every path

What callers saw: at about 4,000 machines, after all controllers restarted, 5% of the questions were answered for minutes, with all faults over; leaders changed every ten seconds.

Cause: each submission ran a whole placement round at once. Only rounds that events request passed through PlacementLoop, which holds placement to a fifth of the time; and that only up to rounds of 30 ms. A round looks at every machine and every waiting job: 45 ms of the clock at this size. Submissions alone took up to 80% of the leader's time, its lease was renewed too late, it lost its authority, its followers went to the store instead, which refused them, and users repeated their submissions. Each new leader met the same.

Fix: PlacementLoop has a budget of a fifth of the time, with half a second at once, which every round counts against. A submission still places its tasks at once, in the transaction that creates the job, as long as the budget allows, which it does wherever rounds are short; otherwise they wait for the next round. Scaling, the other work that grows with the cluster, is held to a tenth of the time in the same way.

--- a/src/leader/job-requests.ts
+++ b/src/leader/job-requests.ts
@@ -42,7 +42,7 @@
   readonly ledger: Ledger;
   readonly placements: PlacementIndex;
   readonly commands: Pick<DirectCommandSender, 'scheduleDirectCommands'>;
-  readonly scheduler: Pick<Scheduler, 'forecast' | 'schedulePlacement' | 'placeWaitingTasks'>;
+  readonly scheduler: Pick<Scheduler, 'forecast' | 'schedulePlacement' | 'placeNow'>;
   readonly jobRecords: Pick<JobRecords, 'lookUp'>;
   readonly clock: Clock;
 }
@@ -82,8 +82,8 @@
     job.markChanged(WritePriority.userRequest);
     ledger.insert(job);
     scheduler.forecast.recordSubmission(spec, clock.steady());
-    // Tasks that fit on a machine now are placed in the same transaction that creates the job.
-    scheduler.placeWaitingTasks();
+    // Tasks that fit on a machine now are placed in the same transaction that creates the job, if there is time.
+    scheduler.placeNow();
     const isCommitted = await ledger.whenCommitted(job);
     const latest = await this.findLatestInMemory(id);
     if (latest?.kind === 'final') return latest;
--- a/src/leader/periodic-work.ts
+++ b/src/leader/periodic-work.ts
@@ -5,6 +5,7 @@
 import {
   ms,
   seconds,
+  addDuration,
   durationBetween,
   type Epoch,
   type SteadyMs,
@@ -27,6 +28,8 @@
 const BUSY_TICK_THRESHOLD = ms(150);
 /** Delay from a tick to scaling, which runs in a separate event loop turn: after a failover, both take long. */
 const SCALING_DELAY = ms(1);
+/** Limit for the share of time spent on scaling, which takes longer with each machine and each waiting job. */
+const MAX_SCALING_TIME_SHARE = 0.1;
 
 /** The components of a term that periodic work uses. */
 export interface PeriodicWorkComponents {
@@ -47,6 +50,7 @@
   private readonly imageHintSender: ImageHintSender;
   private readonly fleetLog: FleetLog;
   private isRedirecting = false;
+  private nextScalingAt: SteadyMs;
   private lastTickAt: SteadyMs;
   private tickTimer: Timer | undefined;
   private scalingTimer: Timer | undefined;
@@ -59,6 +63,7 @@
   ) {
     const { deps, fleet, ledger } = components;
     this.lastTickAt = startedAt;
+    this.nextScalingAt = startedAt;
     this.imageHintSender = new ImageHintSender(deps.broadcastImageHints, startedAt);
     const { catalog, log } = deps;
     this.fleetLog = new FleetLog({ fleet, ledger, catalog, log }, startedAt);
@@ -135,6 +140,11 @@
   }
 
   private scaleCapacity(): void {
-    if (!this.isClosed && this.hasAuthority()) this.components.autoscaler.tick();
+    const { autoscaler, deps } = this.components;
+    const startedAt = deps.clock.steady();
+    if (this.isClosed || startedAt < this.nextScalingAt || !this.hasAuthority()) return;
+    autoscaler.tick();
+    const duration = durationBetween(startedAt, deps.clock.steady());
+    this.nextScalingAt = addDuration(startedAt, ms(duration / MAX_SCALING_TIME_SHARE));
   }
 }
--- a/src/leader/scheduler.ts
+++ b/src/leader/scheduler.ts
@@ -78,8 +78,12 @@
     if (this.isReady) this.placementLoop.schedule();
   }
 
-  /** Runs a placement round immediately. */
-  placeWaitingTasks(): void {
+  /** Runs a placement round at once if the time budget for placement allows, otherwise soon. */
+  placeNow(): void {
+    this.placementLoop.runNow();
+  }
+
+  private placeWaitingTasks(): void {
     const queue = this.jobQueue();
     if (queue.length === 0) return;
     const now = this.deps.clock.steady();
