Keep connections for users and health checks however many workers there are

Cause: users, health checks and workers had one limit in common, and what came above it was closed at once, whoever it was. Workers keep their connections, so at that many workers nothing was left for the others.

Fix: ApiConnections keeps an eighth of the connections free. Above that, the response to a heartbeat closes its connection, and the worker connects again for its next one; an idle worker's connection makes room for a new one, a silent one's first; and while heartbeats that wait for a response hold all but the reserved connections, further ones are refused at once instead of waiting. Below that nothing changes: small deployments pay nothing, and there is no fixed number of machines above which users are refused.

--- /dev/null
+++ b/src/api/api-connections.ts
@@ -0,0 +1,140 @@
+/**
+ * Divides the connections that a controller may accept between workers and other clients. Workers keep theirs open;
+ * without a limit, a few thousand of them would use up all connections, and neither users nor health checks would be
+ * served.
+ */
+import type { Server } from 'node:http';
+import type { Socket } from 'node:net';
+import { durationBetween, type Clock, type DurationMs, type SteadyMs } from '../units/index.js';
+
+/** The share of the connections that is kept free for new clients. */
+const RESERVED_SHARE = 0.125;
+const MIN_RESERVED_CONNECTIONS = 8;
+/** A worker that has been silent for this many heartbeat intervals has lost its connection, or will replace it. */
+const SILENT_AFTER_HEARTBEATS = 2;
+
+/** The kind of client on a connection. */
+export type ClientKind = 'worker' | 'user';
+
+/** Open connections by kind, and the connections since the previous report. */
+export interface ConnectionReport {
+  readonly worker: number;
+  readonly user: number;
+  /** Connections without a request so far. */
+  readonly unidentified: number;
+  /** Connections that were accepted. */
+  readonly opened: number;
+  /** Connections that were closed at once, because there were too many. */
+  readonly dropped: number;
+  /** Idle connections of workers that were closed to make room. */
+  readonly evicted: number;
+  /** Heartbeats that were refused, because too many others were waiting. */
+  readonly refusedHeartbeats: number;
+}
+
+interface Connection {
+  client: ClientKind | undefined;
+  isBusy: boolean;
+}
+
+/** The connections of one server. */
+export class ApiConnections {
+  private readonly connections = new Map<Socket, Connection>();
+  /** The idle connections of workers, idle for longest first, with the time since when they are idle. */
+  private readonly idleWorkers = new Map<Socket, SteadyMs>();
+  private readonly reserved: number;
+  private busyWorkerCount = 0;
+  private opened = 0;
+  private dropped = 0;
+  private evicted = 0;
+  private refusedHeartbeats = 0;
+
+  constructor(
+    private readonly maxConnections: number,
+    private readonly heartbeatInterval: DurationMs,
+    private readonly clock: Pick<Clock, 'steady'>,
+  ) {
+    this.reserved = Math.max(MIN_RESERVED_CONNECTIONS, Math.floor(maxConnections * RESERVED_SHARE));
+  }
+
+  /** Counts and limits the connections of a server from now on. */
+  observe(server: Server): void {
+    server.maxConnections = this.maxConnections;
+    server.on('connection', (socket) => this.add(socket));
+    server.on('drop', () => this.dropped++);
+  }
+
+  /** Whether a worker should reconnect for its next heartbeat, so that connections remain for new clients. */
+  get isCrowded(): boolean {
+    return this.connections.size > this.maxConnections - this.reserved;
+  }
+
+  /**
+   * Records the beginning of a request. False if it is a heartbeat that must be refused at once, since the heartbeats
+   * that wait for a response hold all connections but the reserved ones.
+   */
+  beginRequest(socket: Socket, client: ClientKind): boolean {
+    const connection = this.connections.get(socket);
+    if (!connection) return true;
+    connection.client = client;
+    this.setBusy(socket, connection, true);
+    if (client === 'user' || this.busyWorkerCount <= this.maxConnections - this.reserved)
+      return true;
+    this.refusedHeartbeats++;
+    return false;
+  }
+
+  /** Records that the response to the request on a connection is complete. */
+  endRequest(socket: Socket): void {
+    const connection = this.connections.get(socket);
+    if (connection) this.setBusy(socket, connection, false);
+  }
+
+  /** The connections that are open now, and the counts since the previous report. */
+  takeReport(): ConnectionReport {
+    const counts = { worker: 0, user: 0, unidentified: 0 };
+    for (const { client } of this.connections.values()) counts[client ?? 'unidentified']++;
+    const { opened, dropped, evicted, refusedHeartbeats } = this;
+    this.opened = 0;
+    this.dropped = 0;
+    this.evicted = 0;
+    this.refusedHeartbeats = 0;
+    return { ...counts, opened, dropped, evicted, refusedHeartbeats };
+  }
+
+  private add(socket: Socket): void {
+    this.opened++;
+    this.connections.set(socket, { client: undefined, isBusy: false });
+    socket.once('close', () => this.remove(socket));
+    if (this.connections.size > this.maxConnections - this.reserved / 2) this.evictIdleWorker();
+  }
+
+  private remove(socket: Socket): void {
+    this.endRequest(socket);
+    this.idleWorkers.delete(socket);
+    this.connections.delete(socket);
+  }
+
+  private setBusy(socket: Socket, connection: Connection, isBusy: boolean): void {
+    if (connection.client !== 'worker' || connection.isBusy === isBusy) return;
+    connection.isBusy = isBusy;
+    this.busyWorkerCount += isBusy ? 1 : -1;
+    if (isBusy) this.idleWorkers.delete(socket);
+    else this.idleWorkers.set(socket, this.clock.steady());
+  }
+
+  /**
+   * Closes the connection of a silent worker; if there is none, the one that became idle last, whose next heartbeat is
+   * the furthest away.
+   */
+  private evictIdleWorker(): void {
+    const [longestIdle] = this.idleWorkers;
+    if (!longestIdle) return;
+    const [silentSocket, idleSince] = longestIdle;
+    const idleTime = durationBetween(idleSince, this.clock.steady());
+    const isSilent = idleTime > SILENT_AFTER_HEARTBEATS * this.heartbeatInterval;
+    const evicted = isSilent ? silentSocket : [...this.idleWorkers.keys()].at(-1);
+    this.evicted++;
+    evicted?.destroy();
+  }
+}
--- a/src/api/app.ts
+++ b/src/api/app.ts
@@ -6,17 +6,19 @@
 import { CONTENT_TYPE, MAX_BODY_BYTES, encode } from '../wire/index.js';
 import {
   BODY_TOO_LONG,
+  CANNOT_HANDLE_HEARTBEAT,
   METHOD_NOT_ALLOWED,
   serviceUnavailable,
   type ApiResponse,
 } from './api-response.js';
+import type { ApiConnections } from './api-connections.js';
 import type { RequestKind, RequestMetrics } from './request-metrics.js';
 import type { UserRequestHandler } from './user-request-handler.js';
 import type { WorkerHeartbeatHandler } from './worker-heartbeat-handler.js';
 
 const HEALTH_PATH = '/up';
-/** The path of heartbeats; only workers request it. */
-export const HEARTBEAT_PATH = '/agent/beat';
+/** Only workers request this path. */
+const HEARTBEAT_PATH = '/agent/beat';
 const CANCEL_PATH_END = '/abort';
 
 /** The handler for each kind of request. */
@@ -29,14 +31,18 @@
 }
 
 /** Creates the application that reads each request, passes it to its handler and encodes the response. */
-export function createApp(handlers: RequestHandlers, log: Logger): Koa {
+export function createApp(
+  handlers: RequestHandlers,
+  connections: ApiConnections,
+  log: Logger,
+): Koa {
   const app = new Koa();
   app.on('error', (error: Error) =>
     log.debug({ err: error.message }, 'HTTP connection to a client failed'),
   );
   app.use(async (ctx) => {
     const startedAt = handlers.clock.steady();
-    const response = await handleRequest(handlers, ctx, log);
+    const response = await handleOnConnection(handlers, connections, ctx, log);
     const duration = durationBetween(startedAt, handlers.clock.steady());
     handlers.requestMetrics.record(requestKind(ctx.method, ctx.path), response, duration);
     ctx.status = response.status;
@@ -55,6 +61,24 @@
   return path.endsWith(CANCEL_PATH_END) ? 'cancel' : 'submit';
 }
 
+/** Handles a request on a connection that may be needed for other clients. */
+async function handleOnConnection(
+  handlers: RequestHandlers,
+  connections: ApiConnections,
+  ctx: Koa.Context,
+  log: Logger,
+): Promise<ApiResponse> {
+  const { socket } = ctx.req;
+  const client = ctx.path === HEARTBEAT_PATH ? 'worker' : 'user';
+  const isAdmitted = connections.beginRequest(socket, client);
+  ctx.res.once('close', () => connections.endRequest(socket));
+  if (!isAdmitted) return { ...CANNOT_HANDLE_HEARTBEAT, shouldCloseConnection: true };
+  const response = await handleRequest(handlers, ctx, log);
+  return client === 'worker' && connections.isCrowded
+    ? { ...response, shouldCloseConnection: true }
+    : response;
+}
+
 async function handleRequest(
   handlers: RequestHandlers,
   ctx: Koa.Context,
--- a/src/servers.ts
+++ b/src/servers.ts
@@ -2,7 +2,7 @@
 import http from 'node:http';
 import type { Logger } from 'pino';
 import { createApp, type RequestHandlers } from './api/app.js';
-import { ConnectionMetrics } from './api/connection-metrics.js';
+import { ApiConnections } from './api/api-connections.js';
 import type { Settings } from './config/settings.js';
 import type { PeerHandler } from './peer/peer.js';
 import { createPeerServer } from './peer/peer-server.js';
@@ -46,10 +46,14 @@
   maxApiConnections: number,
   log: Logger,
 ): RunningServers {
-  const api = createApiServer(controller, settings, log);
-  api.maxConnections = maxApiConnections;
-  const connectionMetrics = new ConnectionMetrics(api);
-  controller.connections = () => connectionMetrics.takeReport();
+  const connections = new ApiConnections(
+    maxApiConnections,
+    settings.workers.heartbeatInterval,
+    controller.clock,
+  );
+  const api = createApiServer(controller, connections, settings, log);
+  connections.observe(api);
+  controller.connections = () => connections.takeReport();
   const peers = createPeerServer((request) => controller.peerRequestHandler.handle(request), log);
   listenWithRetries(
     [
@@ -69,6 +73,7 @@
 
 function createApiServer(
   controller: RequestHandlers,
+  connections: ApiConnections,
   { workers }: Settings,
   log: Logger,
 ): http.Server {
@@ -84,7 +89,7 @@
       connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
     },
     // koa handles all errors of its requests itself.
-    createApp(controller, log).callback() as http.RequestListener,
+    createApp(controller, connections, log).callback() as http.RequestListener,
   );
 }
 
