Keep connections for health checks however many users there are, too

About 6,000 unfinished jobs were polled over kept connections; as soon as the balancer sent them all to one controller they filled its 1,421 connections, its health checks got none, and it was removed for up to a minute while the next one met the same.

Cause: the check was there for workers' connections only. The same rule now holds for every client: above seven eighths of the connections each response closes its connection, and an idle connection makes room for a new one.

Test: "health checks are served although users hold as many connections as they can" failed before (user 40 of 120 got no response).

--- a/src/api/api-connections.ts
+++ b/src/api/api-connections.ts
@@ -1,7 +1,6 @@
 /**
- * Divides the connections that a controller may accept between workers and other clients. Workers keep theirs open;
- * without a limit, a few thousand of them would use up all connections, and neither users nor health checks would be
- * served.
+ * Keeps connections free for new clients. Workers and users keep theirs open; a few thousand of them would use up all
+ * that a controller may accept, and the load balancer would remove it because its health checks get none.
  */
 import type { Server } from 'node:http';
 import type { Socket } from 'node:net';
@@ -10,7 +9,7 @@
 /** The share of the connections that is kept free for new clients. */
 const RESERVED_SHARE = 0.125;
 const MIN_RESERVED_CONNECTIONS = 8;
-/** A worker that has been silent for this many heartbeat intervals has lost its connection, or will replace it. */
+/** A client that has been silent for this many heartbeat intervals has lost its connection, or will replace it. */
 const SILENT_AFTER_HEARTBEATS = 2;
 
 /** The kind of client on a connection. */
@@ -26,7 +25,7 @@
   readonly opened: number;
   /** Connections that were closed at once, because there were too many. */
   readonly dropped: number;
-  /** Idle connections of workers that were closed to make room. */
+  /** Idle connections that were closed to make room. */
   readonly evicted: number;
   /** Heartbeats that were refused, because too many others were waiting. */
   readonly refusedHeartbeats: number;
@@ -40,8 +39,8 @@
 /** The connections of one server. */
 export class ApiConnections {
   private readonly connections = new Map<Socket, Connection>();
-  /** The idle connections of workers, idle for longest first, with the time since when they are idle. */
-  private readonly idleWorkers = new Map<Socket, SteadyMs>();
+  /** The idle connections, idle for longest first, with the time since when they are idle. */
+  private readonly idle = new Map<Socket, SteadyMs>();
   private readonly reserved: number;
   private busyWorkerCount = 0;
   private opened = 0;
@@ -64,7 +63,7 @@
     server.on('drop', () => this.dropped++);
   }
 
-  /** Whether a worker should reconnect for its next heartbeat, so that connections remain for new clients. */
+  /** Whether clients should reconnect for their next request, so that connections remain for new clients. */
   get isCrowded(): boolean {
     return this.connections.size > this.maxConnections - this.reserved;
   }
@@ -106,34 +105,34 @@
     this.opened++;
     this.connections.set(socket, { client: undefined, isBusy: false });
     socket.once('close', () => this.remove(socket));
-    if (this.connections.size > this.maxConnections - this.reserved / 2) this.evictIdleWorker();
+    if (this.connections.size > this.maxConnections - this.reserved / 2) this.evictIdle();
   }
 
   private remove(socket: Socket): void {
     this.endRequest(socket);
-    this.idleWorkers.delete(socket);
+    this.idle.delete(socket);
     this.connections.delete(socket);
   }
 
   private setBusy(socket: Socket, connection: Connection, isBusy: boolean): void {
-    if (connection.client !== 'worker' || connection.isBusy === isBusy) return;
+    if (connection.isBusy === isBusy) return;
     connection.isBusy = isBusy;
-    this.busyWorkerCount += isBusy ? 1 : -1;
-    if (isBusy) this.idleWorkers.delete(socket);
-    else this.idleWorkers.set(socket, this.clock.steady());
+    if (connection.client === 'worker') this.busyWorkerCount += isBusy ? 1 : -1;
+    if (isBusy) this.idle.delete(socket);
+    else this.idle.set(socket, this.clock.steady());
   }
 
   /**
-   * Closes the connection of a silent worker; if there is none, the one that became idle last, whose next heartbeat is
-   * the furthest away.
+   * Closes the connection of a silent client; if there is none, the one that became idle last, whose next request is
+   * probably the furthest away.
    */
-  private evictIdleWorker(): void {
-    const [longestIdle] = this.idleWorkers;
+  private evictIdle(): void {
+    const [longestIdle] = this.idle;
     if (!longestIdle) return;
     const [silentSocket, idleSince] = longestIdle;
     const idleTime = durationBetween(idleSince, this.clock.steady());
     const isSilent = idleTime > SILENT_AFTER_HEARTBEATS * this.heartbeatInterval;
-    const evicted = isSilent ? silentSocket : [...this.idleWorkers.keys()].at(-1);
+    const evicted = isSilent ? silentSocket : [...this.idle.keys()].at(-1);
     this.evicted++;
     evicted?.destroy();
   }
--- a/src/api/app.ts
+++ b/src/api/app.ts
@@ -74,9 +74,7 @@
   ctx.res.once('close', () => connections.endRequest(socket));
   if (!isAdmitted) return { ...CANNOT_HANDLE_HEARTBEAT, shouldCloseConnection: true };
   const response = await handleRequest(handlers, ctx, log);
-  return client === 'worker' && connections.isCrowded
-    ? { ...response, shouldCloseConnection: true }
-    : response;
+  return connections.isCrowded ? { ...response, shouldCloseConnection: true } : response;
 }
 
 async function handleRequest(
--- a/test/unit/servers.test.ts
+++ b/test/unit/servers.test.ts
@@ -72,7 +72,7 @@
   }
 }
 
-const workerAgent = (): http.Agent => new http.Agent({ keepAlive: true, maxSockets: 1 });
+const keepAliveAgent = (): http.Agent => new http.Agent({ keepAlive: true, maxSockets: 1 });
 
 async function expectUsersServed(port: number, when: string): Promise<void> {
   const agent = new http.Agent({ keepAlive: false });
@@ -84,16 +84,27 @@
 
 void test('health checks and users are served although workers hold as many connections as they can', async () => {
   await withServers(Promise.resolve(), async (port) => {
-    const agents = Array.from({ length: 3 * MAX_CONNECTIONS }, workerAgent);
+    const agents = Array.from({ length: 3 * MAX_CONNECTIONS }, keepAliveAgent);
     for (const agent of agents) await send(port, 'POST', HEARTBEAT_PATH, agent);
     await expectUsersServed(port, 'with idle connections of workers');
     for (const agent of agents) agent.destroy();
   });
 });
 
+void test('health checks are served although users hold as many connections as they can', async () => {
+  await withServers(Promise.resolve(), async (port) => {
+    const agents = Array.from({ length: 3 * MAX_CONNECTIONS }, keepAliveAgent);
+    for (const [i, agent] of agents.entries()) {
+      assert.equal(await send(port, 'GET', '/v1/jobs/run-000001', agent), 200, `user ${i}`);
+    }
+    await expectUsersServed(port, 'with idle connections of users');
+    for (const agent of agents) agent.destroy();
+  });
+});
+
 void test('every worker gets responses although there are more of them than connections', async () => {
   await withServers(Promise.resolve(), async (port) => {
-    const agents = Array.from({ length: 3 * MAX_CONNECTIONS }, workerAgent);
+    const agents = Array.from({ length: 3 * MAX_CONNECTIONS }, keepAliveAgent);
     for (let round = 0; round < 3; round++) {
       for (const [i, agent] of agents.entries()) {
         assert.equal(await send(port, 'POST', HEARTBEAT_PATH, agent), 200, `worker ${i}`);
@@ -107,7 +118,7 @@
   let release = (): void => undefined;
   const released = new Promise<void>((resolve) => (release = resolve));
   await withServers(released, async (port) => {
-    const agents = Array.from({ length: 3 * MAX_CONNECTIONS }, workerAgent);
+    const agents = Array.from({ length: 3 * MAX_CONNECTIONS }, keepAliveAgent);
     const heartbeats = agents.map((agent) => send(port, 'POST', HEARTBEAT_PATH, agent));
     // Connections are made in order, so these come after all heartbeats.
     await expectUsersServed(port, 'with heartbeats that wait');
