--- a/test/standin/clock.ts
+++ b/test/standin/clock.ts
@@ -93,7 +93,7 @@
   private postponedEvents: (() => void)[] | undefined;
 
   constructor(
-    private readonly time: VirtualTime,
+    private readonly time: TimeSource,
     /** The share by which its steady clock runs fast; negative if it runs slow. */
     private readonly drift: number,
     /** How far its wall clock is ahead of the virtual time. */
--- a/test/standin/fault-scenario.ts
+++ b/test/standin/fault-scenario.ts
@@ -49,8 +49,11 @@
   assert.deepEqual(cluster.users.unfinishedJobs(), [], name);
 }
 
+/** What the submission of random jobs uses of a cluster. */
+export type JobSubmitter = Pick<SimulatedCluster, 'random' | 'users'>;
+
 /** Submits a random gang, and cancels it later with a probability of 0.2. */
-export function submitRandomGang(cluster: SimulatedCluster): void {
+export function submitRandomGang(cluster: JobSubmitter): void {
   const { random } = cluster;
   const hasCheckpoints = random() < 0.6;
   cluster.users.submit(
@@ -71,7 +74,7 @@
 }
 
 /** Submits a random job array, and cancels it later with a probability of 0.25. */
-function submitRandomArray(cluster: SimulatedCluster): void {
+export function submitRandomArray(cluster: JobSubmitter): void {
   const { random } = cluster;
   cluster.users.submit(
     {
--- a/test/standin/invariant-checker.ts
+++ b/test/standin/invariant-checker.ts
@@ -4,7 +4,7 @@
  */
 import type { Settings } from '../../src/config/settings.js';
 import type { JobSpec } from '../../src/wire/index.js';
-import type { VirtualTime } from './clock.js';
+import type { TimeSource } from './clock.js';
 import type { Cloud, RentedMachine } from './cloud.js';
 import type { WorkerOnMachine } from './machine-fleet.js';
 import type { TaskRegistry } from './task-registry.js';
@@ -12,7 +12,7 @@
 
 /** The parts of the simulated cluster that the checker observes. */
 export interface CheckedCluster {
-  readonly time: VirtualTime;
+  readonly time: TimeSource;
   readonly settings: Settings;
   readonly jobs: ReadonlyMap<string, UserJob>;
   readonly tasks: TaskRegistry;
--- a/test/standin/loopback-services.ts
+++ b/test/standin/loopback-services.ts
@@ -40,15 +40,18 @@
 /** Longer than any pause between two requests of a controller. */
 const KEEP_ALIVE_TIMEOUT_MS = 120_000;
 
-const realTime: TimeSource = {
+/** The time that passes. */
+export const realTime: TimeSource = {
   get now() {
     return performance.now();
   },
   after: (delay, run) => systemClock.after(ms(delay), run),
 };
 
+/** Responds to an HTTP request with the CBOR response of a handler. */
 async function respond(
   handler: RequestHandler,
+  clientName: string,
   request: http.IncomingMessage,
   response: http.ServerResponse,
 ): Promise<void> {
@@ -57,23 +60,29 @@
     request.method ?? 'GET',
     request.url ?? '/',
     body && body.length > 0 ? decode(body) : undefined,
-    'node-0',
+    clientName,
   );
   response.writeHead(status, { 'content-type': 'application/cbor' });
   response.end(encode(responseBody ?? {}));
 }
 
-function serve(port: number, handler: RequestHandler): http.Server {
+/** Serves a handler on loopback; `clientName` names the sender of all requests. */
+export function serve(
+  port: number,
+  handler: RequestHandler,
+  clientName = 'node-0',
+  host = '127.0.0.1',
+): http.Server {
   const server = http.createServer(
     { keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS },
     (request, response) => {
-      respond(handler, request, response).catch((error: unknown) => {
+      respond(handler, clientName, request, response).catch((error: unknown) => {
         process.stderr.write(`${String(error)}\n`);
         response.writeHead(500).end();
       });
     },
   );
-  return server.listen(port, '127.0.0.1');
+  return server.listen(port, host);
 }
 
 /** The store, the cloud and the workers as HTTP servers. */
--- a/test/standin/simulated-cluster.ts
+++ b/test/standin/simulated-cluster.ts
@@ -112,9 +112,9 @@
     this.users = new Users({
       time,
       random,
-      network,
+      createClient: (clock) => network.client('user', NO_ZONE, clock),
       loadBalancer: this.createLoadBalancer(),
-      zones: clusterSettings.zones,
+      endpointOf: (controller) => clusterSettings.of(controller).apiEndpoint,
       jobs,
       processOf: (controller) => this.controllers.processOf(controller),
       onTaskCompleted: (task) => this.tasks.onTaskCompleted(task),
--- a/test/standin/users.ts
+++ b/test/standin/users.ts
@@ -2,8 +2,8 @@
  * Simulated users, as the protocol describes them: they submit, poll and cancel jobs, repeat requests, and check
  * that no response contradicts an earlier one.
  */
-import type { HttpOutcome } from '../../src/net/http.js';
-import { Endpoint, ms, type Random } from '../../src/units/index.js';
+import type { HttpClient, HttpOutcome } from '../../src/net/http.js';
+import { ms, type Endpoint, type Random } from '../../src/units/index.js';
 import {
   JobKind,
   encodeJobSpec,
@@ -13,9 +13,8 @@
 import { jobSpec } from '../support/job-spec.js';
 import { settingsFile } from '../support/settings-file.js';
 import type { LoadBalancer } from './load-balancer.js';
-import { ProcessClock, type VirtualTime } from './clock.js';
+import { ProcessClock, type TimeSource } from './clock.js';
 import { GangRun } from './gang-run.js';
-import { NO_ZONE, type Network } from './network.js';
 
 /** A job with the state that its user knows and the progress of its tasks on the workers. */
 export interface UserJob {
@@ -46,11 +45,13 @@
 
 /** The parts of the simulated cluster that users use. */
 export interface UsersDependencies {
-  readonly time: VirtualTime;
+  readonly time: TimeSource;
   readonly random: Random;
-  readonly network: Network;
+  /** Creates the HTTP client of all users. */
+  readonly createClient: (clock: ProcessClock) => HttpClient;
+  /** The API endpoint of a controller. */
+  readonly endpointOf: (controller: number) => Endpoint;
   readonly loadBalancer: LoadBalancer;
-  readonly zones: readonly string[];
   /** All jobs by id; users add those that they submit. */
   readonly jobs: Map<string, UserJob>;
   /** The running process of a controller. */
@@ -75,10 +76,10 @@
   /** The most recent polls with their times. A poll is successful if the status of its response is 200 or 404. */
   private polls: { readonly at: number; readonly isSuccessful: boolean }[] = [];
   private jobCount = 0;
-  private readonly clock: ProcessClock;
+  private readonly client: HttpClient;
 
   constructor(private readonly dependencies: UsersDependencies) {
-    this.clock = new ProcessClock(dependencies.time, 0, 0);
+    this.client = dependencies.createClient(new ProcessClock(dependencies.time, 0, 0));
   }
 
   /** Submits a job and polls it until it finishes and beyond. Cancels it after `cancelAfterMs`, if given. */
@@ -168,11 +169,8 @@
     const connection = this.openConnection(job?.connection) ?? this.connect();
     if (job) job.connection = connection;
     if (!connection) return undefined;
-    const endpoint = Endpoint(
-      settingsFile(connection.controller, this.dependencies.zones).api_addr,
-    );
-    const client = this.dependencies.network.client('user', NO_ZONE, this.clock);
-    const outcome = await client.send({ endpoint, method, path, body, timeout: ms(timeout) });
+    const endpoint = this.dependencies.endpointOf(connection.controller);
+    const outcome = await this.client.send({ endpoint, method, path, body, timeout: ms(timeout) });
     if (outcome.kind === 'response') return outcome;
     if (job) job.connection = undefined;
     return undefined;
