Refuse requests at once when those that wait hold nearly all connections

Now the requests that wait leave an eighth of the connections to users, and users half of that to health checks. A refused user gets 503 with Retry-After and the reason "overloaded" in the log.

Test: "health checks are served, and polls refused at once, although the polls of all connections wait" failed before. The test for heartbeats that wait is as it was; its setup is shared with the new one.

--- a/src/api/api-connections.ts
+++ b/src/api/api-connections.ts
@@ -13,12 +13,13 @@
 const SILENT_AFTER_HEARTBEATS = 2;
 
 /** The kind of client on a connection. */
-export type ClientKind = 'worker' | 'user';
+export type ClientKind = 'worker' | 'user' | 'healthCheck';
 
 /** Open connections by kind, and the connections since the previous report. */
 export interface ConnectionReport {
   readonly worker: number;
   readonly user: number;
+  readonly healthCheck: number;
   /** Connections without a request so far. */
   readonly unidentified: number;
   /** Connections that were accepted. */
@@ -27,8 +28,8 @@
   readonly dropped: number;
   /** Idle connections that were closed to make room. */
   readonly evicted: number;
-  /** Heartbeats that were refused, because too many others were waiting. */
-  readonly refusedHeartbeats: number;
+  /** Requests that were refused at once, because too many others were waiting. */
+  readonly refused: number;
 }
 
 interface Connection {
@@ -42,11 +43,11 @@
   /** The idle connections, idle for longest first, with the time since when they are idle. */
   private readonly idle = new Map<Socket, SteadyMs>();
   private readonly reserved: number;
-  private busyWorkerCount = 0;
+  private busyCount = 0;
   private opened = 0;
   private dropped = 0;
   private evicted = 0;
-  private refusedHeartbeats = 0;
+  private refused = 0;
 
   constructor(
     private readonly maxConnections: number,
@@ -69,20 +70,24 @@
   }
 
   /**
-   * Records the beginning of a request. False if it is a heartbeat that must be refused at once, since the heartbeats
-   * that wait for a response hold all connections but the reserved ones.
+   * Records the beginning of a request. False if it must be refused at once, since the requests that wait for a response
+   * hold too many connections: heartbeats leave the reserved ones to users, users half of them to health checks, which
+   * are never refused.
    */
   beginRequest(socket: Socket, client: ClientKind): boolean {
     const connection = this.connections.get(socket);
     if (!connection) return true;
     connection.client = client;
     this.setBusy(socket, connection, true);
-    if (client === 'user' || this.busyWorkerCount <= this.maxConnections - this.reserved)
-      return true;
-    this.refusedHeartbeats++;
+    if (client === 'healthCheck' || this.busyCount <= this.maxBusyFor(client)) return true;
+    this.refused++;
     return false;
   }
 
+  private maxBusyFor(client: 'worker' | 'user'): number {
+    return this.maxConnections - (client === 'worker' ? this.reserved : this.reserved / 2);
+  }
+
   /** Records that the response to the request on a connection is complete. */
   endRequest(socket: Socket): void {
     const connection = this.connections.get(socket);
@@ -91,14 +96,14 @@
 
   /** The connections that are open now, and the counts since the previous report. */
   takeReport(): ConnectionReport {
-    const counts = { worker: 0, user: 0, unidentified: 0 };
+    const counts = { worker: 0, user: 0, healthCheck: 0, unidentified: 0 };
     for (const { client } of this.connections.values()) counts[client ?? 'unidentified']++;
-    const { opened, dropped, evicted, refusedHeartbeats } = this;
+    const { opened, dropped, evicted, refused } = this;
     this.opened = 0;
     this.dropped = 0;
     this.evicted = 0;
-    this.refusedHeartbeats = 0;
-    return { ...counts, opened, dropped, evicted, refusedHeartbeats };
+    this.refused = 0;
+    return { ...counts, opened, dropped, evicted, refused };
   }
 
   private add(socket: Socket): void {
@@ -117,7 +122,7 @@
   private setBusy(socket: Socket, connection: Connection, isBusy: boolean): void {
     if (connection.isBusy === isBusy) return;
     connection.isBusy = isBusy;
-    if (connection.client === 'worker') this.busyWorkerCount += isBusy ? 1 : -1;
+    this.busyCount += isBusy ? 1 : -1;
     if (isBusy) this.idle.delete(socket);
     else this.idle.set(socket, this.clock.steady());
   }
--- a/src/api/api-response.ts
+++ b/src/api/api-response.ts
@@ -18,6 +18,8 @@
   | 'storeUnavailable'
   /** The store responded so late that the state may be out of date. */
   | 'storeLate'
+  /** Too many other requests were waiting for a response. */
+  | 'overloaded'
   /** The result of the request could not be determined in time. */
   | 'deadlineExceeded'
   /** Handling the request failed with an error. */
--- a/src/api/app.ts
+++ b/src/api/app.ts
@@ -6,12 +6,11 @@
 import { CONTENT_TYPE, MAX_BODY_BYTES, encode } from '../wire/index.js';
 import {
   BODY_TOO_LONG,
-  CANNOT_HANDLE_HEARTBEAT,
   METHOD_NOT_ALLOWED,
   serviceUnavailable,
   type ApiResponse,
 } from './api-response.js';
-import type { ApiConnections } from './api-connections.js';
+import type { ApiConnections, ClientKind } from './api-connections.js';
 import type { RequestKind, RequestMetrics } from './request-metrics.js';
 import type { UserRequestHandler } from './user-request-handler.js';
 import type { WorkerHeartbeatHandler } from './worker-heartbeat-handler.js';
@@ -54,6 +53,11 @@
   return app;
 }
 
+function clientKind(path: string): ClientKind {
+  if (path === HEALTH_PATH) return 'healthCheck';
+  return path === HEARTBEAT_PATH ? 'worker' : 'user';
+}
+
 function requestKind(method: string, path: string): RequestKind {
   if (path === HEALTH_PATH) return 'health';
   if (path === HEARTBEAT_PATH) return 'heartbeat';
@@ -69,10 +73,9 @@
   log: Logger,
 ): Promise<ApiResponse> {
   const { socket } = ctx.req;
-  const client = ctx.path === HEARTBEAT_PATH ? 'worker' : 'user';
-  const isAdmitted = connections.beginRequest(socket, client);
+  const isAdmitted = connections.beginRequest(socket, clientKind(ctx.path));
   ctx.res.once('close', () => connections.endRequest(socket));
-  if (!isAdmitted) return { ...CANNOT_HANDLE_HEARTBEAT, shouldCloseConnection: true };
+  if (!isAdmitted) return { ...serviceUnavailable('overloaded'), shouldCloseConnection: true };
   const response = await handleRequest(handlers, ctx, log);
   return connections.isCrowded ? { ...response, shouldCloseConnection: true } : response;
 }
--- a/test/unit/servers.test.ts
+++ b/test/unit/servers.test.ts
@@ -17,11 +17,18 @@
 const MAX_CONNECTIONS = 40;
 const HEARTBEAT_PATH = '/agent/beat';
 
-/** A controller that responds to each request at once, or to heartbeats once `release` resolves. */
-function controllerThatWaitsFor(release: Promise<void>): ServedController {
+/** Decides how long a controller takes to respond to a request, by its path. */
+type ResponseDelay = (path: string) => Promise<void>;
+
+const NO_DELAY: ResponseDelay = () => Promise.resolve();
+
+/** A controller that responds to each heartbeat and each user's request after a delay. */
+function controllerWith(delay: ResponseDelay): ServedController {
   return {
-    userRequestHandler: { handle: () => Promise.resolve({ status: 200 }) },
-    workerHeartbeatHandler: { handle: () => release.then(() => ({ status: 200 })) },
+    userRequestHandler: {
+      handle: (_method, path) => delay(path).then(() => ({ status: 200 })),
+    },
+    workerHeartbeatHandler: { handle: () => delay(HEARTBEAT_PATH).then(() => ({ status: 200 })) },
     peerRequestHandler: { handle: () => Promise.resolve({ type: 'acknowledged', ok: true }) },
     requestMetrics: new RequestMetrics(),
     clock: systemClock,
@@ -54,7 +61,7 @@
 
 /** Runs a test against the servers of a controller. */
 async function withServers(
-  release: Promise<void>,
+  delay: ResponseDelay,
   run: (port: number) => Promise<void>,
 ): Promise<void> {
   const [api, peers] = [await freePort(), await freePort()];
@@ -64,7 +71,7 @@
     peerEndpoint: Endpoint(`127.0.0.1:${peers}`),
   };
   const log = pino({ level: 'silent' });
-  const servers = startServers(controllerThatWaitsFor(release), settings, MAX_CONNECTIONS, log);
+  const servers = startServers(controllerWith(delay), settings, MAX_CONNECTIONS, log);
   try {
     await run(api);
   } finally {
@@ -74,36 +81,59 @@
 
 const keepAliveAgent = (): http.Agent => new http.Agent({ keepAlive: true, maxSockets: 1 });
 
-async function expectUsersServed(port: number, when: string): Promise<void> {
+const JOB_PATH = '/v1/jobs/run-000001';
+
+/** Expects that health checks get a 200 over new connections, and polls `pollStatus`. */
+async function expectResponses(port: number, when: string, pollStatus = 200): Promise<void> {
   const agent = new http.Agent({ keepAlive: false });
   for (let i = 0; i < 5; i++) {
     assert.equal(await send(port, 'GET', '/up', agent), 200, `health check ${when}`);
-    assert.equal(await send(port, 'GET', '/v1/jobs/run-000001', agent), 200, `poll ${when}`);
+    assert.equal(await send(port, 'GET', JOB_PATH, agent), pollStatus, `poll ${when}`);
   }
 }
 
+/** Runs a check while three times as many requests to a path as connections are allowed wait for their response. */
+async function withWaitingRequests(
+  method: string,
+  waitingPath: string,
+  check: (port: number) => Promise<void>,
+): Promise<void> {
+  let release = (): void => undefined;
+  const released = new Promise<void>((resolve) => (release = resolve));
+  const delay: ResponseDelay = (path) => (path === waitingPath ? released : Promise.resolve());
+  await withServers(delay, async (port) => {
+    const agents = Array.from({ length: 3 * MAX_CONNECTIONS }, keepAliveAgent);
+    const requests = agents.map((agent) => send(port, method, waitingPath, agent));
+    // Connections are made in order, so these come after all requests.
+    await check(port);
+    release();
+    assert.ok((await Promise.all(requests)).includes(200), 'requests that waited get a response');
+    for (const agent of agents) agent.destroy();
+  });
+}
+
 void test('health checks and users are served although workers hold as many connections as they can', async () => {
-  await withServers(Promise.resolve(), async (port) => {
+  await withServers(NO_DELAY, async (port) => {
     const agents = Array.from({ length: 3 * MAX_CONNECTIONS }, keepAliveAgent);
     for (const agent of agents) await send(port, 'POST', HEARTBEAT_PATH, agent);
-    await expectUsersServed(port, 'with idle connections of workers');
+    await expectResponses(port, 'with idle connections of workers');
     for (const agent of agents) agent.destroy();
   });
 });
 
 void test('health checks are served although users hold as many connections as they can', async () => {
-  await withServers(Promise.resolve(), async (port) => {
+  await withServers(NO_DELAY, async (port) => {
     const agents = Array.from({ length: 3 * MAX_CONNECTIONS }, keepAliveAgent);
     for (const [i, agent] of agents.entries()) {
-      assert.equal(await send(port, 'GET', '/v1/jobs/run-000001', agent), 200, `user ${i}`);
+      assert.equal(await send(port, 'GET', JOB_PATH, agent), 200, `user ${i}`);
     }
-    await expectUsersServed(port, 'with idle connections of users');
+    await expectResponses(port, 'with idle connections of users');
     for (const agent of agents) agent.destroy();
   });
 });
 
 void test('every worker gets responses although there are more of them than connections', async () => {
-  await withServers(Promise.resolve(), async (port) => {
+  await withServers(NO_DELAY, async (port) => {
     const agents = Array.from({ length: 3 * MAX_CONNECTIONS }, keepAliveAgent);
     for (let round = 0; round < 3; round++) {
       for (const [i, agent] of agents.entries()) {
@@ -115,15 +145,13 @@
 });
 
 void test('health checks and users are served although the heartbeats of all connections wait for a leader', async () => {
-  let release = (): void => undefined;
-  const released = new Promise<void>((resolve) => (release = resolve));
-  await withServers(released, async (port) => {
-    const agents = Array.from({ length: 3 * MAX_CONNECTIONS }, keepAliveAgent);
-    const heartbeats = agents.map((agent) => send(port, 'POST', HEARTBEAT_PATH, agent));
-    // Connections are made in order, so these come after all heartbeats.
-    await expectUsersServed(port, 'with heartbeats that wait');
-    release();
-    await Promise.all(heartbeats);
-    for (const agent of agents) agent.destroy();
-  });
+  await withWaitingRequests('POST', HEARTBEAT_PATH, (port) =>
+    expectResponses(port, 'with heartbeats that wait'),
+  );
+});
+
+void test('health checks are served, and polls refused at once, although the polls of all connections wait', async () => {
+  await withWaitingRequests('GET', JOB_PATH, (port) =>
+    expectResponses(port, 'with polls that wait', 503),
+  );
 });
