--- a/src/controller.ts
+++ b/src/controller.ts
@@ -38,6 +38,8 @@
   readonly peers: ReadonlyMap<ControllerId, Peer>;
   /** Distinguishes this process from earlier processes of the same controller. */
   readonly processId: string;
+  /** Reports the connections of users and workers for the log; absent in tests without servers. */
+  readonly connectionReport?: () => object;
 }
 
 /** Takes part in the election, leads terms, and handles requests from users, workers and the other controllers. */
@@ -47,8 +49,6 @@
   readonly peerRequestHandler: PeerRequestHandler;
   readonly election: Election;
   readonly requestMetrics = new RequestMetrics();
-  /** Reports the connections of the server, once there is one. */
-  connections: (() => object) | undefined;
   private readonly store: StoreClient;
   private readonly recordLimits: RecordLimits;
   private readonly jobRecords: JobRecords;
@@ -109,7 +109,7 @@
   }
 
   private createServiceLog(): ServiceLog {
-    const { clock, log } = this.environment;
+    const { clock, connectionReport, log } = this.environment;
     const { election, leaderView, requestMetrics } = this;
     return new ServiceLog({
       clock,
@@ -122,7 +122,7 @@
         authority: election.authority(),
         isReady: leaderView.term?.isReady === true,
       }),
-      connections: () => this.connections?.(),
+      connections: connectionReport,
     });
   }
 
--- a/src/main.ts
+++ b/src/main.ts
@@ -6,6 +6,7 @@
 import { parseCommandLine } from './cli/command-line.js';
 import { maxLeaderLease, type OperatorSettings } from './config/operator-settings.js';
 import type { Settings } from './config/settings.js';
+import { ApiConnections } from './api/api-connections.js';
 import { Controller } from './controller.js';
 import { PooledHttpClient } from './net/pooled-http-client.js';
 import { PeerClient } from './peer/peer-client.js';
@@ -35,6 +36,11 @@
       new PeerClient(endpoint, systemClock, log),
     ]),
   );
+  const connections = new ApiConnections(
+    sockets.api,
+    settings.workers.heartbeatInterval,
+    systemClock,
+  );
   const controller = new Controller(settings, operator, {
     clock: systemClock,
     random: createRandom(),
@@ -42,8 +48,9 @@
     log,
     peers,
     processId: randomUUID(),
+    connectionReport: () => connections.takeReport(),
   });
-  startServers(controller, settings, sockets.api, log);
+  startServers(controller, settings, connections, log);
   controller.start();
   if (operator.lease > maxLeaderLease(settings.workers)) {
     log.warn(
--- a/src/servers.ts
+++ b/src/servers.ts
@@ -2,7 +2,7 @@
 import http from 'node:http';
 import type { Logger } from 'pino';
 import { createApp, type RequestHandlers } from './api/app.js';
-import { ApiConnections } from './api/api-connections.js';
+import type { ApiConnections } from './api/api-connections.js';
 import type { Settings } from './config/settings.js';
 import type { PeerHandler } from './peer/peer.js';
 import { createPeerServer } from './peer/peer-server.js';
@@ -29,8 +29,6 @@
 /** What the servers use of a controller. */
 export interface ServedController extends RequestHandlers {
   readonly peerRequestHandler: { readonly handle: PeerHandler };
-  /** Set to a function that reports the connections. */
-  connections: (() => object) | undefined;
 }
 
 /** The running servers of a controller. */
@@ -43,17 +41,11 @@
 export function startServers(
   controller: ServedController,
   settings: Settings,
-  maxApiConnections: number,
+  connections: ApiConnections,
   log: Logger,
 ): RunningServers {
-  const connections = new ApiConnections(
-    maxApiConnections,
-    settings.workers.heartbeatInterval,
-    controller.clock,
-  );
   const api = createApiServer(controller, connections, settings, log);
   connections.observe(api);
-  controller.connections = () => connections.takeReport();
   const peers = createPeerServer((request) => controller.peerRequestHandler.handle(request), log);
   listenWithRetries(
     [
--- a/src/service-log.ts
+++ b/src/service-log.ts
@@ -38,8 +38,8 @@
   readonly requestMetrics: RequestMetrics;
   readonly storeMetrics: StoreMetrics;
   readonly leadership: () => LeadershipReport;
-  /** Open connections by kind of client, and those that were dropped; undefined without a server. */
-  readonly connections: () => object | undefined;
+  /** Open connections by kind of client, and those that were dropped; absent without a server. */
+  readonly connections: (() => object) | undefined;
 }
 
 /** Logs one line per interval from `start` to `stop`. */
@@ -81,7 +81,7 @@
         eventLoopDelayMs: Math.round(this.maxDelayMs),
         requests: requestMetrics.takeReport(),
         store: storeMetrics.takeReport(),
-        connections: connections(),
+        connections: connections?.(),
       },
       'service summary',
     );
--- a/test/unit/servers.test.ts
+++ b/test/unit/servers.test.ts
@@ -7,6 +7,7 @@
 import net from 'node:net';
 import { test } from 'node:test';
 import { pino } from 'pino';
+import { ApiConnections } from '../../src/api/api-connections.js';
 import { RequestMetrics } from '../../src/api/request-metrics.js';
 import { parseSettings } from '../../src/config/settings.js';
 import { startServers, type ServedController } from '../../src/servers.js';
@@ -33,7 +34,6 @@
     requestMetrics: new RequestMetrics(),
     clock: systemClock,
     health: () => ({ status: 200 }),
-    connections: undefined,
   };
 }
 
@@ -71,7 +71,9 @@
     peerEndpoint: Endpoint(`127.0.0.1:${peers}`),
   };
   const log = pino({ level: 'silent' });
-  const servers = startServers(controllerWith(delay), settings, MAX_CONNECTIONS, log);
+  const { heartbeatInterval } = settings.workers;
+  const connections = new ApiConnections(MAX_CONNECTIONS, heartbeatInterval, systemClock);
+  const servers = startServers(controllerWith(delay), settings, connections, log);
   try {
     await run(api);
   } finally {
