Divide the soak cluster by concern, and stop its timers with it

Addresses, links and settings are a module of their own; store, workers, users and checks of a run share a time that stops when the run ends.

--- a/test/standin/soak/controller-process.ts
+++ b/test/standin/soak/controller-process.ts
@@ -76,13 +76,19 @@
     child?.kill('SIGKILL');
   }
 
+  /** Kills the process for good and closes its log. */
+  close(): void {
+    this.kill();
+    this.log.end();
+  }
+
   /** Pauses the process, or lets it go on. */
   setPaused(isPaused: boolean): void {
     this.child?.kill(isPaused ? 'SIGSTOP' : 'SIGCONT');
   }
 
   private record(line: string): void {
-    this.log.write(`${line}\n`);
+    if (!this.log.writableEnded) this.log.write(`${line}\n`);
     if (line.includes('"level":"error"')) this.observer.onErrorLogged(line);
   }
 }
--- a/test/standin/soak/soak-cluster.ts
+++ b/test/standin/soak/soak-cluster.ts
@@ -2,25 +2,25 @@
  * Real controller processes on loopback with simulated store, cloud, workers, users and load balancer in this process,
  * and the methods that inject faults. The invariants are checked from outside.
  */
-import { randomInt } from 'node:crypto';
 import { mkdirSync } from 'node:fs';
-import net from 'node:net';
+import type http from 'node:http';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import { parseSettings } from '../../../src/config/settings.js';
+import { parseSettings, type Settings } from '../../../src/config/settings.js';
 import { PooledHttpClient } from '../../../src/net/pooled-http-client.js';
 import { Endpoint, ms, type Random } from '../../../src/units/index.js';
-import { settingsFile } from '../../support/settings-file.js';
-import { CONTROLLERS, ZONES } from '../cluster-settings.js';
+import { CONTROLLERS } from '../cluster-settings.js';
 import { InvariantChecker } from '../invariant-checker.js';
 import { LoadBalancer } from '../load-balancer.js';
-import { realTime, serve } from '../loopback-services.js';
+import { serve } from '../loopback-services.js';
 import { Store } from '../store.js';
 import { TaskRegistry } from '../task-registry.js';
 import { Users, isFinished, type UserJob } from '../users.js';
 import { ControllerProcess } from './controller-process.js';
+import { SoakNetwork } from './soak-network.js';
+import { StoppableTime } from './stoppable-time.js';
 import { StoreLink } from './store-link.js';
-import { TcpProxy } from './tcp-proxy.js';
+import type { TcpProxy } from './tcp-proxy.js';
 import { WorkerFleet } from './worker-fleet.js';
 
 const STORE_LIMITS = { requestRate: 80, writeRate: 15, valueBytes: 8192, transactionOps: 8 };
@@ -48,173 +48,116 @@
   readonly folder: string;
 }
 
-/**
- * Ports are drawn from below the range that the system uses for outgoing connections, where a port could be taken again
- * as soon as it was found to be free.
- */
-const FIRST_PORT = 12_000;
-const LAST_PORT = 31_000;
-
-/** Whether a port is free on loopback. */
-function isFree(port: number): Promise<boolean> {
-  const server = net.createServer();
-  return new Promise((resolve) => {
-    server.once('error', () => resolve(false));
-    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
-  });
-}
-
-/** Finds ports that are free on loopback. */
-async function freePorts(count: number): Promise<number[]> {
-  const ports = new Set<number>();
-  while (ports.size < count) {
-    const port = randomInt(FIRST_PORT, LAST_PORT);
-    if (await isFree(port)) ports.add(port);
-  }
-  return [...ports];
-}
-
 /** Three real controllers and all that they use. */
 export class SoakCluster {
+  readonly time = new StoppableTime();
   readonly random: Random;
   readonly store: Store;
   readonly users: Users;
   readonly fleet: WorkerFleet;
-  readonly jobs: ReadonlyMap<string, UserJob>;
+  readonly jobs = new Map<string, UserJob>();
   readonly controllers: readonly SoakController[];
+  private readonly settings: Settings;
   private readonly tasks: TaskRegistry;
   private readonly invariants: InvariantChecker;
   private readonly client = new PooledHttpClient(MAX_SOCKETS, MAX_SOCKETS, 64);
+  private readonly servers: http.Server[] = [];
   private isClosed = false;
 
   /** Creates a cluster on free ports. Its processes are not started yet. */
   static async create(options: SoakClusterOptions): Promise<SoakCluster> {
-    const [workerPort = 0, ...ports] = await freePorts(1 + 4 * CONTROLLERS.length);
     mkdirSync(options.folder, { recursive: true });
-    const apiPorts = ports.slice(0, 3);
-    const peerPorts = ports.slice(3, 6);
-    const storePorts = ports.slice(6, 9);
-    const cloudPort = ports[9] ?? 0;
-    const links = new Map<string, TcpProxy>();
-    const linkPorts = new Map<string, number>();
-    for (const from of CONTROLLERS) {
-      for (const to of CONTROLLERS) {
-        if (from === to) continue;
-        const link = new TcpProxy(peerPorts[to] ?? 0);
-        links.set(`${from}>${to}`, link);
-        linkPorts.set(`${from}>${to}`, await link.listen());
-      }
-    }
-    return new SoakCluster(
-      options,
-      { workerPort, apiPorts, peerPorts, storePorts, cloudPort },
-      links,
-      linkPorts,
-    );
+    return new SoakCluster(options, await SoakNetwork.create());
   }
 
   private constructor(
-    options: SoakClusterOptions,
-    ports: {
-      readonly workerPort: number;
-      readonly apiPorts: readonly number[];
-      readonly peerPorts: readonly number[];
-      readonly storePorts: readonly number[];
-      readonly cloudPort: number;
-    },
-    links: ReadonlyMap<string, TcpProxy>,
-    linkPorts: ReadonlyMap<string, number>,
+    private readonly options: SoakClusterOptions,
+    private readonly network: SoakNetwork,
   ) {
     const generator = xoroshiro128plus(options.seed);
     this.random = () => uniformFloat64(generator);
-    this.store = new Store(realTime, STORE_LIMITS);
-    const jobs = new Map<string, UserJob>();
-    this.jobs = jobs;
-    this.tasks = new TaskRegistry(jobs, {
+    this.settings = parseSettings(network.settingsOf(0, this.maxCpus));
+    this.store = new Store(this.time, STORE_LIMITS);
+    this.tasks = new TaskRegistry(this.jobs, {
       onTaskStarted: (machine, task, others) => this.invariants.checkStart(machine, task, others),
       onJobCompleted: () => undefined,
     });
-    const maxCpus = options.workers * MAX_CPUS_PER_WORKER;
-    const settingsOf = (index: number): object => {
-      const file = settingsFile(index, ZONES);
-      return {
-        ...file,
-        api_addr: `127.0.0.1:${ports.apiPorts[index]}`,
-        cluster_listen: `127.0.0.1:${ports.peerPorts[index]}`,
-        others: file.others.map((other) => {
-          const peer = Number(other.node.split('-')[1]);
-          return { ...other, endpoint: `127.0.0.1:${linkPorts.get(`${index}>${peer}`)}` };
-        }),
-        endpoints: {
-          cloud: `127.0.0.1:${ports.cloudPort}`,
-          state: `127.0.0.1:${ports.storePorts[index]}`,
-        },
-        params: {
-          ...file.params,
-          teams: file.params.teams.map((team) => ({ ...team, cpus_max: maxCpus })),
-        },
-      };
-    };
-    const settings = parseSettings(settingsOf(0));
-    this.controllers = CONTROLLERS.map((index) => {
-      const storeLink = new StoreLink(this.store, this.random);
-      const name = `node-${index}`;
-      serve(ports.storePorts[index] ?? 0, storeLink.handle.bind(storeLink), name);
-      return {
-        process: new ControllerProcess(
-          options.command,
-          `${options.folder}/${name}.json`,
-          settingsOf(index),
-          `${options.folder}/${name}.log`,
-          {
-            onErrorLogged: (line) => this.report('log', line),
-            onEnded: (reason) => this.report('ended', `${name} ended by itself: ${reason}`),
-          },
-        ),
-        apiEndpoint: Endpoint(`127.0.0.1:${ports.apiPorts[index]}`),
-        storeLink,
-        peerLinks: new Map(
-          CONTROLLERS.filter((other) => other !== index).map((other) => [
-            other,
-            links.get(`${index}>${other}`)!,
-          ]),
-        ),
-      };
+    this.controllers = CONTROLLERS.map((index) => this.createController(index));
+    this.fleet = this.createFleet();
+    const { cloud } = this.fleet;
+    this.serve(network.cloudPort, (method, path, body) => cloud.handle(method, path, body));
+    this.users = this.createUsers();
+    this.invariants = new InvariantChecker({
+      time: this.time,
+      settings: this.settings,
+      jobs: this.jobs,
+      tasks: this.tasks,
+      users: this.users,
+      cloud,
+      workers: this.fleet.workers,
     });
-    this.fleet = new WorkerFleet({
-      port: ports.workerPort,
-      workerCount: options.workers,
+  }
+
+  private get maxCpus(): number {
+    return this.options.workers * MAX_CPUS_PER_WORKER;
+  }
+
+  private serve(...args: Parameters<typeof serve>): void {
+    this.servers.push(serve(...args));
+  }
+
+  private createController(index: number): SoakController {
+    const { network } = this;
+    const { command, folder } = this.options;
+    const name = `node-${index}`;
+    const storeLink = new StoreLink(this.store, this.random, this.time);
+    this.serve(network.portsOf(index).store, storeLink.handle.bind(storeLink), name);
+    const process = new ControllerProcess(
+      command,
+      `${folder}/${name}.json`,
+      network.settingsOf(index, this.maxCpus),
+      `${folder}/${name}.log`,
+      {
+        onErrorLogged: (line) => this.report('log', line),
+        onEnded: (reason) => this.report('ended', `${name} ended by itself: ${reason}`),
+      },
+    );
+    const peers = CONTROLLERS.filter((other) => other !== index);
+    const peerLinks = new Map(peers.map((peer) => [peer, network.linkBetween(index, peer)]));
+    return { process, apiEndpoint: Endpoint(network.apiAddressOf(index)), storeLink, peerLinks };
+  }
+
+  private createFleet(): WorkerFleet {
+    const { network, random, settings, tasks, time } = this;
+    const { heartbeatInterval, lease } = settings.workers;
+    return new WorkerFleet({
+      time,
+      port: network.workerPort,
+      workerCount: this.options.workers,
       controllers: CONTROLLERS.map((index) => ({
         name: `node-${index}`,
-        address: `127.0.0.1:${ports.apiPorts[index]}`,
+        address: network.apiAddressOf(index),
       })),
-      times: { heartbeatMs: settings.workers.heartbeatInterval, leaseMs: settings.workers.lease },
-      taskEnvironment: this.tasks,
-      random: this.random,
+      times: { heartbeatMs: heartbeatInterval, leaseMs: lease },
+      taskEnvironment: tasks,
+      random,
     });
-    serve(ports.cloudPort, (method, path, body) => this.fleet.cloud.handle(method, path, body));
-    this.users = new Users({
-      time: realTime,
-      random: this.random,
+  }
+
+  private createUsers(): Users {
+    const { jobs, random, time } = this;
+    const probe = (index: number): Promise<boolean> => this.probe(index);
+    return new Users({
+      time,
+      random,
       createClient: () => this.client,
       endpointOf: (index) => this.endpointOf(index),
-      loadBalancer: new LoadBalancer(realTime, this.random, CONTROLLERS.length, (index) =>
-        this.probe(index),
-      ),
+      loadBalancer: new LoadBalancer(time, random, CONTROLLERS.length, probe),
       jobs,
       processOf: (index) => this.controllers[index]?.process.process,
       onTaskCompleted: (task) => this.tasks.onTaskCompleted(task),
       onViolation: (rule, detail) => this.report(rule, detail),
     });
-    this.invariants = new InvariantChecker({
-      time: realTime,
-      settings,
-      jobs,
-      tasks: this.tasks,
-      users: this.users,
-      cloud: this.fleet.cloud,
-      workers: this.fleet.workers,
-    });
   }
 
   /** Starts the controllers and the checks. */
@@ -226,11 +169,14 @@
   /** Ends all processes, servers and workers of the cluster. */
   close(): void {
     this.isClosed = true;
-    for (const { process, peerLinks } of this.controllers) {
-      process.kill();
-      for (const link of peerLinks.values()) link.close();
-    }
+    this.time.stop();
+    for (const { process } of this.controllers) process.close();
+    this.network.close();
     this.fleet.close();
+    for (const server of this.servers) {
+      server.close();
+      server.closeAllConnections();
+    }
   }
 
   /** The violations of invariants so far. */
--- a/test/standin/soak/soak-faults.ts
+++ b/test/standin/soak/soak-faults.ts
@@ -1,6 +1,5 @@
 /** The faults that a soak run injects at random. Several can be active at a time. */
 import { CONTROLLERS } from '../cluster-settings.js';
-import { realTime } from '../loopback-services.js';
 import { pickRandom } from '../random-faults.js';
 import type { SoakCluster } from './soak-cluster.js';
 
@@ -19,7 +18,7 @@
 function killController(cluster: SoakCluster, index: number): void {
   const process = cluster.controllers[index]?.process;
   process?.kill();
-  realTime.after(cluster.random() < 0.4 ? 200 : RESTART_DELAY_MS, () => process?.start());
+  cluster.time.after(cluster.random() < 0.4 ? 200 : RESTART_DELAY_MS, () => process?.start());
 }
 
 /** Applies a fault of machines to up to a third of them. */
@@ -112,5 +111,5 @@
 /** Begins a random fault, which ends by itself unless `heal` ends it earlier. */
 export function injectRandomFault(cluster: SoakCluster): void {
   const end = pickRandom(cluster.random, FAULTS)(cluster);
-  realTime.after(MIN_FAULT_MS + cluster.random() * (MAX_FAULT_MS - MIN_FAULT_MS), end);
+  cluster.time.after(MIN_FAULT_MS + cluster.random() * (MAX_FAULT_MS - MIN_FAULT_MS), end);
 }
--- a/test/standin/soak/store-link.ts
+++ b/test/standin/soak/store-link.ts
@@ -1,16 +1,11 @@
 /** The way of one controller's requests to the simulated store, and the faults on it. */
 import type { Random } from '../../../src/units/index.js';
-import { realTime } from '../loopback-services.js';
+import type { TimeSource } from '../clock.js';
 import type { HostResponse } from '../network.js';
 import type { Store } from '../store.js';
 
 const NEVER = new Promise<HostResponse>(() => undefined);
 
-const delay = (delayMs: number): Promise<void> =>
-  new Promise((resolve) => {
-    realTime.after(delayMs, resolve);
-  });
-
 /** Passes requests to the store under the name of one controller. */
 export class StoreLink {
   /** Whether no request arrives and none is answered. */
@@ -25,15 +20,16 @@
   constructor(
     private readonly store: Store,
     private readonly random: Random,
+    private readonly time: TimeSource,
   ) {}
 
   /** Handles a request of the controller `from`. */
   async handle(method: string, path: string, body: unknown, from: string): Promise<HostResponse> {
     if (this.isCut) return NEVER;
-    if (this.maxDelayMs > 0) await delay(this.random() * this.maxDelayMs);
+    if (this.maxDelayMs > 0) await this.delay(this.random() * this.maxDelayMs);
     if (path !== '/multi') return this.respond(method, path, body, from);
     if (this.random() < this.lateWriteShare) {
-      realTime.after(2000 + this.random() * 10_000, () => {
+      this.time.after(2000 + this.random() * 10_000, () => {
         void this.store.handle(method, path, body, from);
       });
       return NEVER;
@@ -42,6 +38,12 @@
     return this.random() < this.lostResponseShare ? NEVER : response;
   }
 
+  private delay(delayMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.time.after(delayMs, resolve);
+    });
+  }
+
   /** A response that is ready when the link is cut gets lost too. */
   private async respond(
     method: string,
--- a/test/standin/soak/worker-fleet.ts
+++ b/test/standin/soak/worker-fleet.ts
@@ -3,9 +3,9 @@
 import type { HttpClient } from '../../../src/net/http.js';
 import { PooledHttpClient } from '../../../src/net/pooled-http-client.js';
 import type { Random } from '../../../src/units/index.js';
-import { systemClock } from '../../../src/units/system-clock.js';
+import { ProcessClock, type TimeSource } from '../clock.js';
 import { Cloud, type RentedMachine } from '../cloud.js';
-import { realTime, serve } from '../loopback-services.js';
+import { serve } from '../loopback-services.js';
 import { machineTypes } from '../machine-types.js';
 import type { WorkerOnMachine } from '../machine-fleet.js';
 import type { HostResponse } from '../network.js';
@@ -19,6 +19,7 @@
 
 /** The parameters and dependencies of the fleet. */
 export interface WorkerFleetOptions {
+  readonly time: TimeSource;
   /** The port that each worker listens on, at an address of its own. */
   readonly port: number;
   readonly workerCount: number;
@@ -47,7 +48,7 @@
 
   constructor(private readonly options: WorkerFleetOptions) {
     this.cloud = new Cloud({
-      time: realTime,
+      time: options.time,
       random: options.random,
       machineTypes,
       listLagMs: LIST_LAG_MS,
@@ -120,7 +121,7 @@
       cpus: this.cloud.machineType(machine.machineType)?.cpus ?? 0,
       controllers,
       http: this.clientOf(machine.id),
-      clock: systemClock,
+      clock: new ProcessClock(this.options.time, 0, 0),
       random,
       times,
       taskEnvironment,
