--- a/test/standin/soak/soak-network.ts
+++ b/test/standin/soak/soak-network.ts
@@ -6,11 +6,13 @@
 import { TcpProxy } from './tcp-proxy.js';
 
 /**
- * Ports are drawn from below the range that the system uses for outgoing connections, where a port could be taken again
- * as soon as it was found to be free.
+ * Ports are taken from below the range that the system uses for outgoing connections, where a port could be taken again
+ * as soon as it was found to be free. Each run has a block of them, and listens on the first one as long as it lasts,
+ * so that no other run takes the same block.
  */
 const FIRST_PORT = 12_000;
-const LAST_PORT = 31_000;
+const PORTS_PER_BLOCK = 32;
+const BLOCK_COUNT = 590;
 
 /** The ports of one controller. */
 interface ControllerPorts {
@@ -20,23 +22,44 @@
   readonly store: number;
 }
 
-/** Whether a port is free on loopback. */
-function isFree(port: number): Promise<boolean> {
+/** Listens on a port of loopback; undefined if it is in use. */
+function listenOn(port: number): Promise<net.Server | undefined> {
   const server = net.createServer();
   return new Promise((resolve) => {
-    server.once('error', () => resolve(false));
-    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+    server.once('error', () => resolve(undefined));
+    server.listen(port, '127.0.0.1', () => resolve(server));
   });
 }
 
-/** Finds ports that are free on loopback. */
-async function freePorts(count: number): Promise<number[]> {
-  const ports = new Set<number>();
-  while (ports.size < count) {
-    const port = randomInt(FIRST_PORT, LAST_PORT);
-    if (await isFree(port)) ports.add(port);
+/** Ports that belong to one run until `release`. */
+interface PortBlock {
+  readonly ports: readonly number[];
+  release(): void;
+}
+
+/** Takes the block that begins at a port; undefined if any of its ports is in use. */
+async function takeBlock(firstPort: number): Promise<PortBlock | undefined> {
+  const lock = await listenOn(firstPort);
+  if (!lock) return undefined;
+  const ports: number[] = [];
+  for (let port = firstPort + 1; port < firstPort + PORTS_PER_BLOCK; port++) {
+    const server = await listenOn(port);
+    if (!server) {
+      lock.close();
+      return undefined;
+    }
+    await new Promise((resolve) => server.close(resolve));
+    ports.push(port);
+  }
+  return { ports, release: () => lock.close() };
+}
+
+/** Takes a random block that is free. */
+async function takeFreeBlock(): Promise<PortBlock> {
+  for (;;) {
+    const block = await takeBlock(FIRST_PORT + randomInt(BLOCK_COUNT) * PORTS_PER_BLOCK);
+    if (block) return block;
   }
-  return [...ports];
 }
 
 const loopback = (port: number): string => `127.0.0.1:${port}`;
@@ -46,6 +69,7 @@
   private readonly links = new Map<string, { readonly proxy: TcpProxy; readonly port: number }>();
 
   private constructor(
+    private readonly block: PortBlock,
     readonly workerPort: number,
     readonly cloudPort: number,
     private readonly controllerPorts: readonly ControllerPorts[],
@@ -53,13 +77,14 @@
 
   /** Finds free ports and opens the links between the controllers. */
   static async create(): Promise<SoakNetwork> {
-    const [workers = 0, cloud = 0, ...ports] = await freePorts(2 + 3 * CONTROLLERS.length);
+    const block = await takeFreeBlock();
+    const [workers = 0, cloud = 0, ...ports] = block.ports;
     const controllerPorts = CONTROLLERS.map((index) => ({
       api: ports[3 * index] ?? 0,
       peers: ports[3 * index + 1] ?? 0,
       store: ports[3 * index + 2] ?? 0,
     }));
-    const network = new SoakNetwork(workers, cloud, controllerPorts);
+    const network = new SoakNetwork(block, workers, cloud, controllerPorts);
     await network.openLinks();
     return network;
   }
@@ -118,8 +143,9 @@
     };
   }
 
-  /** Closes all links. */
+  /** Closes all links and gives the ports back. */
   close(): void {
+    this.block.release();
     for (const { proxy } of this.links.values()) proxy.close();
   }
 }
