Log when a controller begins and ceases to count as isolated, with the evidence

Nothing showed why a controller passed or failed its health checks. The new lines give the age of the store's last response, of its last response of any kind (503 included), and each peer's last status with its age.

Behaviour is unchanged.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -93,6 +93,7 @@
     });
     this.peerLiveness = new PeerLiveness(peers, clock, log, {
       ownStatus: () => this.ownStatus(),
+      storeContact: () => this.store,
       onPeerStatus: ({ leader, epoch }) => {
         if (leader !== '') this.election.recordLeader(ControllerId(leader), epoch);
       },
@@ -232,7 +233,7 @@
   }
 
   private isIsolated(): boolean {
-    return this.peerLiveness.isIsolated(this.store.lastResponseAt);
+    return this.peerLiveness.isIsolated();
   }
 
   private broadcastImageHints(machines: readonly MachineImages[]): void {
--- a/src/peer/peer-liveness.ts
+++ b/src/peer/peer-liveness.ts
@@ -50,10 +50,19 @@
 export const isRecentResponse = (at: SteadyMs, now: SteadyMs): boolean =>
   durationBetween(at, now) < ISOLATION_TIMEOUT;
 
-/** The source and the receiver of the statuses that `PeerLiveness` exchanges. */
+/** The times of the store's responses to this controller. */
+export interface StoreContact {
+  /** When the store last sent a response other than 503 (unavailable). */
+  readonly lastResponseAt: SteadyMs;
+  /** When the store last sent any response. */
+  readonly lastContactAt: SteadyMs;
+}
+
+/** What `PeerLiveness` learns from the rest of the controller, and reports to it. */
 export interface StatusExchange {
   /** The status of this controller at this moment. */
   ownStatus(): PeerStatus;
+  storeContact(): StoreContact;
   /** Called with each status that a peer sends. */
   onPeerStatus(status: PeerStatus): void;
 }
@@ -65,6 +74,7 @@
 export class PeerLiveness {
   private readonly latestStatuses = new Map<ControllerId, ReceivedStatus>();
   private isStopped = false;
+  private wasIsolated = false;
 
   constructor(
     private readonly peers: ReadonlyMap<ControllerId, Peer>,
@@ -83,6 +93,7 @@
 
   private sendHeartbeat(controllerId: ControllerId, peer: Peer): void {
     if (this.isStopped) return;
+    this.logIsolationChange();
     const status = this.exchange.ownStatus();
     const exchanged = peer
       .sendRequest({ type: 'peerHeartbeat', status }, HEARTBEAT_TIMEOUT)
@@ -106,11 +117,38 @@
     return this.exchange.ownStatus();
   }
 
-  /** Whether this controller counts as isolated, given the time of the store's last response to it. */
-  isIsolated(lastStoreResponseAt: SteadyMs): boolean {
+  /** Whether this controller counts as isolated. */
+  isIsolated(): boolean {
+    const { lastResponseAt } = this.exchange.storeContact();
     const statuses = [...this.peers.keys()].map((controllerId) =>
       this.latestStatuses.get(controllerId),
     );
-    return isIsolated(this.clock.steady(), lastStoreResponseAt, statuses);
+    return isIsolated(this.clock.steady(), lastResponseAt, statuses);
+  }
+
+  private logIsolationChange(): void {
+    const isNowIsolated = this.isIsolated();
+    if (isNowIsolated === this.wasIsolated) return;
+    this.wasIsolated = isNowIsolated;
+    const message = isNowIsolated
+      ? 'this controller counts as isolated; it fails its health checks'
+      : 'this controller no longer counts as isolated';
+    this.log.warn(this.evidence(), message);
+  }
+
+  /** What is known of the store and the peers, with the age of each observation. */
+  private evidence(): object {
+    const now = this.clock.steady();
+    const { lastResponseAt, lastContactAt } = this.exchange.storeContact();
+    const peers = [...this.latestStatuses].map(([controllerId, { receivedAt, status }]) => ({
+      controllerId,
+      ageMs: Math.round(durationBetween(receivedAt, now)),
+      storeReachable: status.storeReachable,
+    }));
+    return {
+      storeResponseAgeMs: Math.round(durationBetween(lastResponseAt, now)),
+      storeContactAgeMs: Math.round(durationBetween(lastContactAt, now)),
+      peers,
+    };
   }
 }
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -72,6 +72,7 @@
   private readonly budget: RateBudget;
   private readonly queue: RequestQueue;
   private lastResponseTime: SteadyMs;
+  private lastContactTime: SteadyMs;
   /** The outcomes of all requests. */
   readonly metrics = new StoreMetrics();
 
@@ -82,6 +83,7 @@
     this.budget = new RateBudget(clock, limits, controllerCount);
     this.queue = new RequestQueue(this.budget, clock, random);
     this.lastResponseTime = clock.steady();
+    this.lastContactTime = this.lastResponseTime;
   }
 
   /** When the store last sent a response other than 503 (unavailable). */
@@ -89,6 +91,11 @@
     return this.lastResponseTime;
   }
 
+  /** When the store last sent any response: 503 during an outage, nothing if this controller can't reach it. */
+  get lastContactAt(): SteadyMs {
+    return this.lastContactTime;
+  }
+
   /** Adapts this controller's share of the rates to its role. */
   setRole(role: Role): void {
     this.budget.setRole(role);
@@ -130,7 +137,8 @@
     });
     this.metrics.record(requestName(request.path), outcome);
     if (outcome.kind !== 'response') return outcome;
-    if (outcome.status !== 503) this.lastResponseTime = this.clock.steady();
+    this.lastContactTime = this.clock.steady();
+    if (outcome.status !== 503) this.lastResponseTime = this.lastContactTime;
     if (outcome.status === 429) this.budget.onThrottled(writes);
     return outcome;
   }
