Count a controller as isolated by what the store sends it, not by a peer's last word

Cause: the last status of a peer, "the store does not respond to me either", counted for 30 s after that peer had fallen silent, so the controller went on passing its health checks. Two siblings: a controller that heard any peer counted as connected, also if that peer was cut off with it, or if neither was the leader nor could relay to it. Nothing told a cut from an outage, although the store does: it answers 503 in an outage and nothing over a cut.

Fix: src/peer/reachability.ts decides from all observations. Silence of the store and of any peer means a cut, whatever was said before. A peer that reaches the store helps only if it leads; for 10 s a new leader is waited for. A last status counts for 30 s only while the store itself sends 503, and refused users then reconnect. A process that was suspended first observes for 5 s. An outage for all still keeps all controllers in the load balancer.

The simulated cluster takes a number of controllers, and can cut off several together.

--- a/src/api/user-request-handler.ts
+++ b/src/api/user-request-handler.ts
@@ -7,6 +7,7 @@
 import type { AdmissionControl } from '../ledger/admission-control.js';
 import type { JobRecords } from '../ledger/job-records.js';
 import type { UserPeerRequest } from '../peer/messages.js';
+import type { Reachability } from '../peer/reachability.js';
 import { ms, type Clock } from '../units/index.js';
 import { JobHandler } from './job-handler.js';
 import type { LeaderView, RelayPolicy } from './leader-view.js';
@@ -34,8 +35,8 @@
   readonly jobRecords: JobRecords;
   readonly clock: Clock;
   readonly log: Logger;
-  /** Whether this controller alone is cut off from the store and its peers. */
-  readonly isIsolated: () => boolean;
+  /** Whether this controller can serve users. */
+  readonly reachability: () => Reachability;
 }
 
 /** Handles users' requests, both direct ones and those that a peer relays. */
@@ -52,7 +53,15 @@
 
   /** Handles a request that a user sent to this controller over HTTP. */
   async handle(method: string, path: string, body: Buffer): Promise<ApiResponse> {
-    if (this.deps.isIsolated()) return CONTROLLER_ISOLATED;
+    const reachability = this.deps.reachability();
+    if (reachability === 'isolated') return CONTROLLER_ISOLATED;
+    const response = await this.dispatch(method, path, body);
+    // The presumption may be wrong, and the next connection may reach a controller that is not cut off.
+    const shouldTryAnother = reachability === 'presumedOutage' && response.status === 503;
+    return shouldTryAnother ? { ...response, shouldCloseConnection: true } : response;
+  }
+
+  private async dispatch(method: string, path: string, body: Buffer): Promise<ApiResponse> {
     if (path === JOBS_PATH) {
       if (method !== 'POST') return METHOD_NOT_ALLOWED;
       return this.withDeadline(this.submissionHandler.submit(body, 'relay'));
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -19,7 +19,8 @@
 import { Term } from './leader/term.js';
 import type { HttpClient } from './net/http.js';
 import type { Peer } from './peer/peer.js';
-import { PeerLiveness, isRecentResponse } from './peer/peer-liveness.js';
+import { PeerLiveness } from './peer/peer-liveness.js';
+import { isRecentResponse } from './peer/reachability.js';
 import type { MachineImages, PeerStatus } from './peer/messages.js';
 import { HeartbeatRelay } from './relay/heartbeat-relay.js';
 import { ServiceLog } from './service-log.js';
@@ -97,6 +98,7 @@
       onPeerStatus: ({ leader, epoch }) => {
         if (leader !== '') this.election.recordLeader(ControllerId(leader), epoch);
       },
+      leader: () => this.election.leader(),
     });
     this.userRequestHandler = this.createUserRequestHandler();
     this.workerHeartbeatHandler = this.createWorkerHeartbeatHandler();
@@ -122,6 +124,7 @@
         leaderEpoch: election.leaderEpoch(),
         authority: election.authority(),
         isReady: leaderView.term?.isReady === true,
+        reachability: this.peerLiveness.reachability(),
       }),
       connections: connectionReport,
     });
@@ -153,7 +156,7 @@
       jobRecords,
       clock,
       log,
-      isIsolated: () => this.isIsolated(),
+      reachability: () => this.peerLiveness.reachability(),
     });
   }
 
@@ -233,7 +236,7 @@
   }
 
   private isIsolated(): boolean {
-    return this.peerLiveness.isIsolated();
+    return this.peerLiveness.reachability() === 'isolated';
   }
 
   private broadcastImageHints(machines: readonly MachineImages[]): void {
@@ -250,8 +253,7 @@
    * The response to a health check. The controller is healthy once it has learned of a leader, from the store or a
    * peer, and stays healthy while the store is unavailable to all controllers: a quick response that tells users to
    * retry serves them better than removal from the load balancer, which resets connections and readmits the controller
-   * only after a delay. If only this controller is isolated, it responds as unhealthy, since another controller could
-   * serve its users.
+   * only after a delay. While it is isolated, it responds as unhealthy, since another controller may serve its users.
    */
   health(): ApiResponse {
     this.hasSeenLeader ||= this.election.leader() !== undefined;
--- a/src/peer/peer-liveness.ts
+++ b/src/peer/peer-liveness.ts
@@ -2,61 +2,26 @@
 import type { Logger } from 'pino';
 import { runInBackground } from '../units/run-in-background.js';
 import {
+  type ControllerId,
   ms,
   durationBetween,
   seconds,
   type Clock,
-  type ControllerId,
   type SteadyMs,
 } from '../units/index.js';
 import type { Peer } from './peer.js';
 import type { PeerStatus } from './messages.js';
+import {
+  assessReachability,
+  type Reachability,
+  type ReceivedStatus,
+  type StoreContact,
+} from './reachability.js';
 
 const HEARTBEAT_INTERVAL = ms(1000);
 const HEARTBEAT_TIMEOUT = ms(800);
-/** A controller without any response from the store or a peer for this long counts as isolated. */
-const ISOLATION_TIMEOUT = seconds(5);
-/** How long a peer's statement that the store does not respond to it either remains valid. */
-const OUTAGE_REPORT_TTL = seconds(30);
-
-/** The latest status of a peer, and when it arrived. */
-export interface ReceivedStatus {
-  readonly receivedAt: SteadyMs;
-  readonly status: PeerStatus;
-}
-
-/**
- * Whether a controller can't serve users because it alone is cut off: neither the store nor any peer responds to it.
- * If the store is unavailable to all controllers, the peers report that, and no controller counts as isolated.
- */
-export function isIsolated(
-  now: SteadyMs,
-  lastStoreResponseAt: SteadyMs,
-  peers: readonly (ReceivedStatus | undefined)[],
-): boolean {
-  if (peers.length === 0 || durationBetween(lastStoreResponseAt, now) < ISOLATION_TIMEOUT)
-    return false;
-  for (const peer of peers) {
-    if (!peer) continue;
-    const age = durationBetween(peer.receivedAt, now);
-    if (age < ISOLATION_TIMEOUT) return false;
-    const isStoreOutage = !peer.status.storeReachable && peer.receivedAt > lastStoreResponseAt;
-    if (isStoreOutage && age < OUTAGE_REPORT_TTL) return false;
-  }
-  return true;
-}
-
-/** Whether a response at that time is recent enough for its sender to count as reachable. */
-export const isRecentResponse = (at: SteadyMs, now: SteadyMs): boolean =>
-  durationBetween(at, now) < ISOLATION_TIMEOUT;
-
-/** The times of the store's responses to this controller. */
-export interface StoreContact {
-  /** When the store last sent a response other than 503 (unavailable). */
-  readonly lastResponseAt: SteadyMs;
-  /** When the store last sent any response. */
-  readonly lastContactAt: SteadyMs;
-}
+/** Without any heartbeat to a peer for this long, the process was suspended: its observations tell nothing. */
+const SUSPENSION_THRESHOLD = seconds(3);
 
 /** What `PeerLiveness` learns from the rest of the controller, and reports to it. */
 export interface StatusExchange {
@@ -65,6 +30,8 @@
   storeContact(): StoreContact;
   /** Called with each status that a peer sends. */
   onPeerStatus(status: PeerStatus): void;
+  /** The controller that leads, as far as this controller knows. */
+  leader(): ControllerId | undefined;
 }
 
 /**
@@ -72,16 +39,24 @@
  * that a controller without access to the store still learns who leads.
  */
 export class PeerLiveness {
-  private readonly latestStatuses = new Map<ControllerId, ReceivedStatus>();
+  private readonly latestStatuses = new Map<ControllerId, ReceivedStatus | undefined>();
+  private lastLeaderResponseAt: SteadyMs | undefined;
+  /** Since when this process has been running without having been suspended. */
+  private observingSince: SteadyMs;
+  private lastActiveAt: SteadyMs;
+  private loggedReachability: Reachability = 'connected';
   private isStopped = false;
-  private wasIsolated = false;
 
   constructor(
     private readonly peers: ReadonlyMap<ControllerId, Peer>,
     private readonly clock: Clock,
     private readonly log: Logger,
     private readonly exchange: StatusExchange,
-  ) {}
+  ) {
+    for (const controllerId of peers.keys()) this.latestStatuses.set(controllerId, undefined);
+    this.observingSince = clock.steady();
+    this.lastActiveAt = this.observingSince;
+  }
 
   start(): void {
     for (const [controllerId, peer] of this.peers) this.sendHeartbeat(controllerId, peer);
@@ -93,17 +68,12 @@
 
   private sendHeartbeat(controllerId: ControllerId, peer: Peer): void {
     if (this.isStopped) return;
-    this.logIsolationChange();
+    this.logReachabilityChange();
     const status = this.exchange.ownStatus();
     const exchanged = peer
       .sendRequest({ type: 'peerHeartbeat', status }, HEARTBEAT_TIMEOUT)
       .then((response) => {
-        if (response?.type !== 'peerStatus') return;
-        this.latestStatuses.set(controllerId, {
-          receivedAt: this.clock.steady(),
-          status: response.status,
-        });
-        this.exchange.onPeerStatus(response.status);
+        if (response?.type === 'peerStatus') this.recordStatus(controllerId, response.status);
       })
       .finally(() =>
         this.clock.after(HEARTBEAT_INTERVAL, () => this.sendHeartbeat(controllerId, peer)),
@@ -111,43 +81,55 @@
     runInBackground(exchanged, this.log, 'sending a heartbeat to a peer');
   }
 
+  private recordStatus(controllerId: ControllerId, status: PeerStatus): void {
+    const receivedAt = this.clock.steady();
+    this.latestStatuses.set(controllerId, { receivedAt, status });
+    this.exchange.onPeerStatus(status);
+    const isLeader = this.exchange.leader() === controllerId;
+    if (isLeader && status.storeReachable) this.lastLeaderResponseAt = receivedAt;
+  }
+
   /** Processes a peer's heartbeat and returns the status to respond with. */
   handleHeartbeat(status: PeerStatus): PeerStatus {
     this.exchange.onPeerStatus(status);
     return this.exchange.ownStatus();
   }
 
-  /** Whether this controller counts as isolated. */
-  isIsolated(): boolean {
-    const { lastResponseAt } = this.exchange.storeContact();
-    const statuses = [...this.peers.keys()].map((controllerId) =>
-      this.latestStatuses.get(controllerId),
-    );
-    return isIsolated(this.clock.steady(), lastResponseAt, statuses);
+  /** Whether this controller can serve users at this moment. */
+  reachability(): Reachability {
+    const now = this.clock.steady();
+    if (durationBetween(this.lastActiveAt, now) > SUSPENSION_THRESHOLD) this.observingSince = now;
+    this.lastActiveAt = now;
+    return assessReachability({
+      now,
+      observingSince: this.observingSince,
+      store: this.exchange.storeContact(),
+      lastLeaderResponseAt: this.lastLeaderResponseAt,
+      peers: this.latestStatuses,
+    });
   }
 
-  private logIsolationChange(): void {
-    const isNowIsolated = this.isIsolated();
-    if (isNowIsolated === this.wasIsolated) return;
-    this.wasIsolated = isNowIsolated;
-    const message = isNowIsolated
-      ? 'this controller counts as isolated; it fails its health checks'
-      : 'this controller no longer counts as isolated';
-    this.log.warn(this.evidence(), message);
+  private logReachabilityChange(): void {
+    const reachability = this.reachability();
+    if (reachability === this.loggedReachability) return;
+    this.loggedReachability = reachability;
+    this.log.warn({ reachability, ...this.evidence() }, 'reachability of this controller changed');
   }
 
   /** What is known of the store and the peers, with the age of each observation. */
   private evidence(): object {
     const now = this.clock.steady();
+    const ageMs = (at: SteadyMs): number => Math.round(durationBetween(at, now));
     const { lastResponseAt, lastContactAt } = this.exchange.storeContact();
-    const peers = [...this.latestStatuses].map(([controllerId, { receivedAt, status }]) => ({
+    const peers = [...this.latestStatuses].map(([controllerId, latest]) => ({
       controllerId,
-      ageMs: Math.round(durationBetween(receivedAt, now)),
-      storeReachable: status.storeReachable,
+      ageMs: latest && ageMs(latest.receivedAt),
+      storeReachable: latest?.status.storeReachable,
     }));
     return {
-      storeResponseAgeMs: Math.round(durationBetween(lastResponseAt, now)),
-      storeContactAgeMs: Math.round(durationBetween(lastContactAt, now)),
+      leader: this.exchange.leader(),
+      storeResponseAgeMs: ageMs(lastResponseAt),
+      storeContactAgeMs: ageMs(lastContactAt),
       peers,
     };
   }
--- a/src/service-log.ts
+++ b/src/service-log.ts
@@ -5,6 +5,7 @@
  */
 import type { Logger } from 'pino';
 import type { RequestMetrics } from './api/request-metrics.js';
+import type { Reachability } from './peer/reachability.js';
 import type { StoreMetrics } from './store/store-metrics.js';
 import {
   addDuration,
@@ -29,6 +30,7 @@
   /** The epoch under which this controller may act; undefined if it has no authority. */
   readonly authority: Epoch | undefined;
   readonly isReady: boolean;
+  readonly reachability: Reachability;
 }
 
 /** The dependencies of the service log. */
@@ -71,13 +73,14 @@
 
   private logReport(now: SteadyMs): void {
     const { connections, leadership, log, requestMetrics, storeMetrics } = this.deps;
-    const { leader, leaderEpoch, authority, isReady } = leadership();
+    const { leader, leaderEpoch, authority, isReady, reachability } = leadership();
     log.info(
       {
         leader,
         leaderEpoch,
         authority,
         isReady,
+        reachability,
         eventLoopDelayMs: Math.round(this.maxDelayMs),
         requests: requestMetrics.takeReport(),
         store: storeMetrics.takeReport(),
--- a/test/standin/cluster-settings.ts
+++ b/test/standin/cluster-settings.ts
@@ -2,7 +2,7 @@
 import { parseSettings, type Settings } from '../../src/config/settings.js';
 import { settingsFile } from '../support/settings-file.js';
 
-/** The indexes of the controllers: `node-0`, `node-1` and `node-2`. */
+/** The indexes of the controllers of a cluster with the default number of them: `node-0`, `node-1` and `node-2`. */
 export const CONTROLLERS = [0, 1, 2] as const;
 
 /** The default zones of a simulated cluster. */
@@ -21,6 +21,8 @@
   readonly zones?: readonly string[];
   /** The most processors of the only team; 0 for no limit. */
   readonly maxCpus?: number;
+  /** How many controllers there are; as many as `CONTROLLERS` by default. */
+  readonly controllerCount?: number;
   /** The share of a processor that each controller has. */
   readonly controllerCpu?: number;
   /** The future limits of the store that the settings announce. */
@@ -30,17 +32,23 @@
 /** The settings of all controllers. */
 export class ClusterSettings {
   readonly zones: readonly string[];
+  /** The indexes of the controllers. */
+  readonly controllers: readonly number[];
   private readonly byController: readonly Settings[];
 
   constructor(private readonly options: ClusterSettingsOptions) {
     this.zones = options.zones ?? ZONES;
-    this.byController = CONTROLLERS.map((controller) => parseSettings(this.fileOf(controller)));
+    const { controllerCount = CONTROLLERS.length } = options;
+    this.controllers = Array.from({ length: controllerCount }, (_, index) => index);
+    this.byController = this.controllers.map((controller) =>
+      parseSettings(this.fileOf(controller)),
+    );
   }
 
   /** The settings file of a controller. */
   fileOf(controller: number): object {
     const { maxCpus = DEFAULT_MAX_CPUS, controllerCpu, announcedStoreLimits } = this.options;
-    const file = settingsFile(controller, this.zones);
+    const file = settingsFile(controller, this.zones, this.controllers.length);
     const teams = file.params.teams.map((team) => ({ ...team, cpus_max: maxCpus }));
     const limits = { ...file.params.limits, cpu: controllerCpu ?? file.params.limits.cpu };
     const state = { ...file.params.state, next: announcedStoreLimits };
@@ -54,7 +62,7 @@
     return settings;
   }
 
-  /** The parsed settings of all controllers, in the order of `CONTROLLERS`. */
+  /** The parsed settings of all controllers, in the order of `controllers`. */
   get all(): readonly Settings[] {
     return this.byController;
   }
--- a/test/standin/controller-processes.ts
+++ b/test/standin/controller-processes.ts
@@ -6,7 +6,7 @@
 import type { Build, PeerConnection, RunningController } from './build.js';
 import { ProcessClock, type VirtualTime } from './clock.js';
 import type { HostResponse, Network } from './network.js';
-import { CONTROLLERS, type ClusterSettings } from './cluster-settings.js';
+import type { ClusterSettings } from './cluster-settings.js';
 import { currentBuild } from './current-build.js';
 
 /** The parts of the simulated cluster that controllers use. */
@@ -74,7 +74,8 @@
     private readonly dependencies: ControllerProcessesDependencies,
     build: Build,
   ) {
-    for (const controllerIndex of CONTROLLERS) this.builds.set(controllerIndex, build);
+    for (const controllerIndex of dependencies.settings.controllers)
+      this.builds.set(controllerIndex, build);
   }
 
   /** Starts a controller unless it is already running. */
--- a/test/standin/load-balancer.ts
+++ b/test/standin/load-balancer.ts
@@ -99,6 +99,11 @@
     backend.recentProbes = [];
   }
 
+  /** The indexes of the controllers that get new connections. */
+  healthyControllers(): number[] {
+    return this.backends.filter(({ isHealthy }) => isHealthy).map(({ controller }) => controller);
+  }
+
   /** Whether open connections to a controller have been reset because it is unhealthy. */
   hasResetConnections(controller: number): boolean {
     const backend = this.backends[controller];
--- a/test/standin/network-faults.ts
+++ b/test/standin/network-faults.ts
@@ -1,12 +1,7 @@
 /** Network faults that affect the controllers and the store. */
 import type { Random } from '../../src/units/index.js';
 import type { Network } from './network.js';
-import {
-  CLOUD_ADDRESS,
-  CONTROLLERS,
-  STORE_ADDRESS,
-  type ClusterSettings,
-} from './cluster-settings.js';
+import { CLOUD_ADDRESS, STORE_ADDRESS, type ClusterSettings } from './cluster-settings.js';
 
 /** The parts of the simulated cluster that network faults use. */
 export interface NetworkFaultsDependencies {
@@ -23,17 +18,22 @@
     this.apiEndpoints = dependencies.settings.all.map(({ apiEndpoint }) => apiEndpoint);
   }
 
-  /** Cuts a controller off from the store and the other controllers, but not from workers and users. */
-  isolate(controller: number, refusesConnections: boolean): void {
+  /** Cuts controllers off from the store and all others, but not from each other, workers and users. */
+  isolate(controllers: readonly number[], refusesConnections: boolean): void {
     const { network, settings } = this.dependencies;
-    const isolated = settings.of(controller);
-    const peerEndpoints = new Set<string>(settings.all.map(({ peerEndpoint }) => peerEndpoint));
-    for (const other of settings.all) {
-      const isUnreachable =
-        other === isolated
-          ? (address: string) => address === STORE_ADDRESS || peerEndpoints.has(address)
-          : (address: string) => address === isolated.peerEndpoint;
-      network.isolate(other.controllerId, isUnreachable, refusesConnections);
+    const endpointsOf = (isCutOff: boolean): ReadonlySet<string> =>
+      new Set(
+        settings.all
+          .filter((_, index) => controllers.includes(index) === isCutOff)
+          .map(({ peerEndpoint }) => peerEndpoint),
+      );
+    const isolated = endpointsOf(true);
+    const others = endpointsOf(false);
+    for (const { controllerId, peerEndpoint } of settings.all) {
+      const isUnreachable = isolated.has(peerEndpoint)
+        ? (address: string) => address === STORE_ADDRESS || others.has(address)
+        : (address: string) => isolated.has(address);
+      network.isolate(controllerId, isUnreachable, refusesConnections);
     }
   }
 
@@ -45,8 +45,7 @@
 
   /** Sets whether connections between controllers are refused. */
   setPeerConnectionsRefused(isRefused: boolean): void {
-    for (const controller of CONTROLLERS) {
-      const { peerEndpoint } = this.dependencies.settings.of(controller);
+    for (const { peerEndpoint } of this.dependencies.settings.all) {
       this.dependencies.network.setConnectionsRefused(peerEndpoint, isRefused);
     }
   }
--- a/test/standin/simulated-cluster.ts
+++ b/test/standin/simulated-cluster.ts
@@ -1,5 +1,5 @@
 /**
- * A simulated cluster: three complete controllers with simulated external systems on a virtual clock. One seed
+ * A simulated cluster: complete controllers, three by default, with simulated external systems on a virtual clock. One seed
  * determines all that happens, and the invariants are checked while it runs.
  */
 import { pino, type Logger } from 'pino';
@@ -17,7 +17,6 @@
 import { Network, NO_ZONE } from './network.js';
 import {
   CLOUD_ADDRESS,
-  CONTROLLERS,
   ClusterSettings,
   STORE_ADDRESS,
   type ClusterSettingsOptions,
@@ -55,13 +54,14 @@
   );
 }
 
-/** Three controllers, their workers, users and external services, with methods that inject faults. */
+/** The controllers, their workers, users and external services, with methods that inject faults. */
 export class SimulatedCluster {
   readonly time = new VirtualTime();
   readonly random: Random;
   readonly network: Network;
   readonly store: Store;
   readonly users: Users;
+  readonly loadBalancer: LoadBalancer;
   readonly jobs: ReadonlyMap<string, UserJob>;
   /** The share of jobs that are cancelled at the moment when their last task completes. */
   cancelOnCompletionShare = 0;
@@ -108,12 +108,13 @@
       { time, random, network, settings: clusterSettings, log },
       options.build ?? currentBuild,
     );
-    for (const controller of CONTROLLERS) this.controllers.start(controller);
+    for (const controller of clusterSettings.controllers) this.controllers.start(controller);
+    this.loadBalancer = this.createLoadBalancer();
     this.users = new Users({
       time,
       random,
       createClient: (clock) => network.client('user', NO_ZONE, clock),
-      loadBalancer: this.createLoadBalancer(),
+      loadBalancer: this.loadBalancer,
       endpointOf: (controller) => clusterSettings.of(controller).apiEndpoint,
       jobs,
       processOf: (controller) => this.controllers.processOf(controller),
@@ -145,7 +146,8 @@
 
   private createLoadBalancer(): LoadBalancer {
     const clock = new ProcessClock(this.time, 0, 0);
-    return new LoadBalancer(this.time, this.random, CONTROLLERS.length, async (controller) => {
+    const { length } = this.settings.controllers;
+    return new LoadBalancer(this.time, this.random, length, async (controller) => {
       const { apiEndpoint: endpoint } = this.settings.of(controller);
       const client = this.network.client('balancer', NO_ZONE, clock);
       const outcome = await client.send({
@@ -268,7 +270,12 @@
 
   /** Cuts a controller off from the store and the other controllers, but not from workers and users. */
   isolateController(controller: number, refusesConnections: boolean): void {
-    this.networkFaults.isolate(controller, refusesConnections);
+    this.networkFaults.isolate([controller], refusesConnections);
+  }
+
+  /** Cuts controllers off from the store and all others, but not from each other, workers and users. */
+  isolateControllers(controllers: readonly number[], refusesConnections: boolean): void {
+    this.networkFaults.isolate(controllers, refusesConnections);
   }
 
   /** Ends the isolation of all controllers. */
--- a/test/support/leader-request-handlers.ts
+++ b/test/support/leader-request-handlers.ts
@@ -11,6 +11,7 @@
 import type { JobLookupResult } from '../../src/leader/job-requests.js';
 import type { Term } from '../../src/leader/term.js';
 import type { Peer } from '../../src/peer/peer.js';
+import type { Reachability } from '../../src/peer/reachability.js';
 import { HeartbeatRelay } from '../../src/relay/heartbeat-relay.js';
 import { Epoch, JobId, ControllerId } from '../../src/units/index.js';
 import { ProcessClock, VirtualTime } from '../standin/clock.js';
@@ -57,7 +58,7 @@
     peers,
   );
   leaderView.term = term as unknown as Term;
-  const isIsolated = (): boolean => false;
+  let reachability: Reachability = 'connected';
   const userRequestHandler = new UserRequestHandler({
     admission: new AdmissionControl(
       catalog,
@@ -68,7 +69,7 @@
     jobRecords,
     clock,
     log: pino({ level: 'silent' }),
-    isIsolated,
+    reachability: () => reachability,
   });
   const workerHeartbeatHandler = new WorkerHeartbeatHandler({
     controllerId: settings.controllerId,
@@ -80,11 +81,14 @@
       leaderPeer: () => leaderView.leaderPeer(),
     }),
     clock,
-    isIsolated,
+    isIsolated: () => reachability === 'isolated',
   });
   const loseAuthority = (): void => {
     epoch = undefined;
   };
+  const setReachability = (value: Reachability): void => {
+    reachability = value;
+  };
   return {
     userRequestHandler,
     workerHeartbeatHandler,
@@ -94,6 +98,7 @@
     time,
     clock,
     loseAuthority,
+    setReachability,
     resolveLookup: () => resolveLookup(),
   };
 }
--- a/test/support/settings-file.ts
+++ b/test/support/settings-file.ts
@@ -1,8 +1,12 @@
 /** Creates settings files for tests. */
 
-/** Creates the content of a small settings file for one of three controllers. */
-export function settingsFile(controller = 0, zones: readonly string[] = ['a', 'b', 'c']) {
-  const controllers = [0, 1, 2];
+/** Creates the content of a small settings file for one of several controllers. */
+export function settingsFile(
+  controller = 0,
+  zones: readonly string[] = ['a', 'b', 'c'],
+  controllerCount = 3,
+) {
+  const controllers = Array.from({ length: controllerCount }, (_, index) => index);
   const zoneOf = (index: number): string => zones[index % zones.length] ?? 'a';
   return {
     node: `node-${controller}`,
@@ -18,7 +22,7 @@
       })),
     endpoints: { cloud: '10.2.0.2:8443', state: '10.2.0.1:2379' },
     params: {
-      nodes: 3,
+      nodes: controllerCount,
       zones: [...new Set(zones)],
       teams: [{ name: 'vision', cpus: 0, cpus_max: 24, gpus: 0, gpus_max: 0 }],
       objectives: [{ kind: 'deadline', class: 'train', share: 0.9, times: 1 }],
--- a/test/unit/user-request-handler.test.ts
+++ b/test/unit/user-request-handler.test.ts
@@ -11,6 +11,7 @@
 import type { StoredJob } from '../../src/ledger/job-records.js';
 import { Job, type FinalState } from '../../src/ledger/job.js';
 import type { JobLookupResult } from '../../src/leader/job-requests.js';
+import type { Reachability } from '../../src/peer/reachability.js';
 import { ControllerId, Revision, WallMs, ms, sleep } from '../../src/units/index.js';
 import { encode, encodeJobSpec, parseSubmission, type JobSpec } from '../../src/wire/index.js';
 import { machineTypes } from '../standin/machine-types.js';
@@ -252,3 +253,25 @@
     assert.equal(creationCount, creationResult === undefined ? 0 : 1, name);
   }
 });
+
+void test('a refused user reconnects if this controller may be the only one that the store refuses', async () => {
+  const cases: [Reachability, boolean][] = [
+    ['connected', false],
+    ['storeOutage', false],
+    ['presumedOutage', true],
+    ['isolated', true],
+  ];
+  for (const [reachability, shouldCloseConnection] of cases) {
+    const follower = createLeaderRequestHandlers({ kind: 'absent' });
+    follower.loseAuthority();
+    follower.setReachability(reachability);
+    follower.jobRecords.lookUp = () => Promise.resolve({ kind: 'unknown' });
+    const response = await follower.userRequestHandler.handle(
+      'GET',
+      `/v1/jobs/${JOB_ID}`,
+      Buffer.alloc(0),
+    );
+    assert.equal(response.status, 503, reachability);
+    assert.equal(response.shouldCloseConnection ?? false, shouldCloseConnection, reachability);
+  }
+});
