Bound the users' requests that a follower relays by the leader's response time

What callers saw: at more polls than the leader can answer, workers got no response to heartbeats for seconds, lost their leases, and their jobs ran again and again; polls waited for 1.2 s, then for the store, and users had left by then.

Cause: a follower bounded the requests that it relays by its connections only. The leader handles them in order of arrival with the batches of heartbeats, of which a follower has one in flight, and which shrinks to 10 heartbeats as the responses grow late. What nobody waits for any more was still handled.

Others are refused at once with 503 and Retry-After, reason "overloaded".

--- a/src/api/api-response.ts
+++ b/src/api/api-response.ts
@@ -18,7 +18,7 @@
   | 'storeUnavailable'
   /** The store responded so late that the state may be out of date. */
   | 'storeLate'
-  /** Too many other requests were waiting for a response. */
+  /** Too many other requests were waiting for a response, here or from the leader. */
   | 'overloaded'
   /** The result of the request could not be determined in time. */
   | 'deadlineExceeded'
--- a/src/api/job-handler.ts
+++ b/src/api/job-handler.ts
@@ -5,7 +5,7 @@
 import { JobId, addDuration, ms, durationBetween, sleep, type Clock } from '../units/index.js';
 import { JOB_ID_PATTERN } from '../wire/index.js';
 import { STORE_RESPONSE_TTL, leaderJobResponse, storedJobResponse } from './job-responses.js';
-import { sendToLeader } from './leader-request.js';
+import type { LeaderRelay } from './leader-relay.js';
 import type { LeaderView, RelayPolicy } from './leader-view.js';
 import { NO_SUCH_JOB, serviceUnavailable, type ApiResponse } from './api-response.js';
 
@@ -20,6 +20,7 @@
   constructor(
     private readonly leaderView: LeaderView,
     private readonly jobRecords: JobRecords,
+    private readonly leaderRelay: LeaderRelay,
     private readonly clock: Clock,
   ) {}
 
@@ -32,8 +33,10 @@
       return this.responseIfAuthorised(term, id, await term.findJob(JobId(id)), NO_SUCH_JOB);
     }
     if (route.kind === 'leader') {
-      const response = await sendToLeader(route.peer, { type: 'readJob', job: id }, READ_TIMEOUT);
+      const request = { type: 'readJob', job: id } as const;
+      const response = await this.leaderRelay.send(route.peer, request, READ_TIMEOUT);
       if (response.kind === 'responded') return response.response;
+      if (response.kind === 'notSent') return serviceUnavailable('overloaded');
     }
     return this.readFromStore(id);
   }
@@ -59,8 +62,9 @@
     }
     if (route.kind === 'leader') {
       const request = { type: 'cancelJob', job: id } as const;
-      const response = await sendToLeader(route.peer, request, CANCEL_TIMEOUT);
+      const response = await this.leaderRelay.send(route.peer, request, CANCEL_TIMEOUT);
       if (response.kind === 'responded') return response.response;
+      if (response.kind === 'notSent') return serviceUnavailable('overloaded');
     }
     return this.cancelInStore(id, policy);
   }
--- a/src/api/submission-handler.ts
+++ b/src/api/submission-handler.ts
@@ -17,7 +17,7 @@
 } from '../wire/index.js';
 import type { JobHandler } from './job-handler.js';
 import { STORE_RESPONSE_TTL, busyResponse, createdResponse } from './job-responses.js';
-import { sendToLeader } from './leader-request.js';
+import type { LeaderRelay } from './leader-relay.js';
 import type { LeaderView, RelayPolicy } from './leader-view.js';
 import { serviceUnavailable, type ApiResponse } from './api-response.js';
 
@@ -36,6 +36,7 @@
   readonly leaderView: LeaderView;
   readonly jobRecords: JobRecords;
   readonly jobHandler: Pick<JobHandler, 'read' | 'responseIfAuthorised'>;
+  readonly leaderRelay: LeaderRelay;
   readonly clock: Clock;
   readonly log: Logger;
 }
@@ -62,6 +63,10 @@
   | { readonly kind: 'unknown' };
 
 const UNKNOWN: CommitOutcome = { kind: 'unknown' };
+const OVERLOADED: CommitOutcome = {
+  kind: 'responded',
+  response: serviceUnavailable('overloaded'),
+};
 
 /** Accepts or rejects submitted jobs. */
 export class SubmissionHandler {
@@ -116,8 +121,9 @@
     }
     if (route.kind === 'leader') {
       const request = { type: 'submitJob', body } as const;
-      const response = await sendToLeader(route.peer, request, SUBMIT_TIMEOUT);
+      const response = await this.deps.leaderRelay.send(route.peer, request, SUBMIT_TIMEOUT);
       if (response.kind === 'responded') return response;
+      if (response.kind === 'notSent') return OVERLOADED;
     }
     return isUndecided ? UNKNOWN : this.writeRecord(spec);
   }
--- a/src/api/user-request-handler.ts
+++ b/src/api/user-request-handler.ts
@@ -10,6 +10,7 @@
 import type { Reachability } from '../peer/reachability.js';
 import { ms, type Clock } from '../units/index.js';
 import { JobHandler } from './job-handler.js';
+import { LeaderRelay } from './leader-relay.js';
 import type { LeaderView, RelayPolicy } from './leader-view.js';
 import {
   CONTROLLER_ISOLATED,
@@ -46,9 +47,14 @@
   private readonly unansweredJobs: UnansweredJobs;
 
   constructor(private readonly deps: UserRequestDependencies) {
-    this.jobHandler = new JobHandler(deps.leaderView, deps.jobRecords, deps.clock);
+    const leaderRelay = new LeaderRelay(deps.clock);
+    this.jobHandler = new JobHandler(deps.leaderView, deps.jobRecords, leaderRelay, deps.clock);
     this.unansweredJobs = new UnansweredJobs(deps.clock, deps.log);
-    this.submissionHandler = new SubmissionHandler({ ...deps, jobHandler: this.jobHandler });
+    this.submissionHandler = new SubmissionHandler({
+      ...deps,
+      jobHandler: this.jobHandler,
+      leaderRelay,
+    });
   }
 
   /** Handles a request that a user sent to this controller over HTTP. */
