--- a/src/api/api-connections.ts
+++ b/src/api/api-connections.ts
@@ -64,6 +64,11 @@
     server.on('drop', () => this.dropped++);
   }
 
+  /** The number of open connections. */
+  get openCount(): number {
+    return this.connections.size;
+  }
+
   /** Whether clients should reconnect for their next request, so that connections remain for new clients. */
   get isCrowded(): boolean {
     return this.connections.size > this.maxConnections - this.reserved;
--- a/src/main.ts
+++ b/src/main.ts
@@ -12,6 +12,7 @@
 import { PeerClient } from './peer/peer-client.js';
 import { createLog, logUncaughtErrors } from './process-log.js';
 import { startServers } from './servers.js';
+import { SocketUsage } from './socket-usage.js';
 import { socketBudget } from './socket-budget.js';
 import { systemClock } from './units/system-clock.js';
 import type { ControllerId, Random } from './units/index.js';
@@ -41,14 +42,21 @@
     settings.workers.heartbeatInterval,
     systemClock,
   );
+  const httpClient = new PooledHttpClient(
+    sockets.commands,
+    SOCKETS_PER_WORKER,
+    IDLE_SOCKETS_PER_WORKER,
+    () => socketUsage.recordFailure(),
+  );
+  const socketUsage = new SocketUsage({ clock: systemClock, log, connections, http: httpClient });
   const controller = new Controller(settings, operator, {
     clock: systemClock,
     random: createRandom(),
-    http: new PooledHttpClient(sockets.commands, SOCKETS_PER_WORKER, IDLE_SOCKETS_PER_WORKER),
+    http: httpClient,
     log,
     peers,
     processId: randomUUID(),
-    connectionReport: () => connections.takeReport(),
+    connectionReport: () => ({ ...connections.takeReport(), sockets: socketUsage.report() }),
   });
   startServers(controller, settings, connections, log);
   controller.start();
--- a/src/net/pooled-http-client.ts
+++ b/src/net/pooled-http-client.ts
@@ -35,6 +35,15 @@
     scheduling: 'lifo',
   });
 
+/** The codes of errors by which the platform refuses a socket. */
+const NO_SOCKET_ERRORS = /\b(EMFILE|ENFILE|ENOBUFS)\b/;
+
+/** The sockets to all workers. */
+export interface WorkerSocketCounts {
+  readonly inFlight: number;
+  readonly idle: number;
+}
+
 /** Sends HTTP requests with CBOR bodies over persistent connections. */
 export class PooledHttpClient implements HttpClient {
   private readonly singleHostAgents: Readonly<Record<SingleHostPool, http.Agent>> = {
@@ -47,12 +56,14 @@
 
   /**
    * `maxWorkerSockets` limits the sockets to all workers together, including idle ones. `maxPerWorker` and
-   * `idlePerWorker` limit the sockets to one worker.
+   * `idlePerWorker` limit the sockets to one worker. `onSocketRefused` is called when the platform refuses a socket for a
+   * connection.
    */
   constructor(
     private readonly maxWorkerSockets: number,
     maxPerWorker: number,
     idlePerWorker: number,
+    private readonly onSocketRefused?: () => void,
   ) {
     this.workerAgent = newAgent({ max: maxPerWorker, idle: idlePerWorker });
   }
@@ -61,7 +72,10 @@
     const pool = request.pool ?? 'worker';
     if (pool !== 'worker') {
       return new Promise((resolve) => {
-        new Exchange(request, this.singleHostAgents[pool], resolve);
+        new Exchange(request, this.singleHostAgents[pool], (outcome) => {
+          this.checkForRefusedSocket(outcome);
+          resolve(outcome);
+        });
       });
     }
     if (!this.hasSocketFor(request.endpoint)) {
@@ -71,11 +85,26 @@
     return new Promise((resolve) => {
       new Exchange(request, this.workerAgent, (outcome) => {
         this.workerRequestsInFlight--;
+        this.checkForRefusedSocket(outcome);
         resolve(outcome);
       });
     });
   }
 
+  /** The requests in flight to workers, each with a socket, and the idle sockets. */
+  workerSocketCounts(): WorkerSocketCounts {
+    const idle = Object.values(this.workerAgent.freeSockets).reduce(
+      (sum, sockets) => sum + (sockets?.length ?? 0),
+      0,
+    );
+    return { inFlight: this.workerRequestsInFlight, idle };
+  }
+
+  private checkForRefusedSocket(outcome: HttpOutcome): void {
+    if (outcome.kind === 'undelivered' && NO_SOCKET_ERRORS.test(outcome.reason))
+      this.onSocketRefused?.();
+  }
+
   /**
    * Whether one more request can be sent to a worker. The agent keeps a socket open for each worker that ever received
    * a request, and those of a thousand workers would use up all sockets that a controller may open. At the limit, the
