Handle relayed heartbeats by time, not 20 in each turn of the event loop

What callers saw: heartbeats waited for seconds at the followers of a busy leader, beyond what its processing time explains.

Cause: the leader handled 20 heartbeats of a batch, then waited for the next turn of its event loop.

Fix: a turn goes on for 40 ms, and for 20 heartbeats at least, so that code which is not compiled yet leaves the lease its turns as before. The new test fails on the sources before (2,132 ms for 160 fast heartbeats at turns of 300 ms) and passes now; its second case, heartbeats of 5 ms each, holds on both.

--- a/src/api/worker-heartbeat-handler.ts
+++ b/src/api/worker-heartbeat-handler.ts
@@ -33,10 +33,12 @@
  */
 const LEADER_UNREACHABLE_AFTER = seconds(5);
 /**
- * The number of relayed heartbeats handled in one turn of the event loop. A new leader has hundreds of them
- * to handle, with code that the JIT has not compiled yet, and must be able to renew its lease in between.
+ * Relayed heartbeats are handled in one turn of the event loop for at least this number and this time. A new leader has
+ * hundreds of them to handle, with code that the JIT has not compiled yet, and must be able to renew its lease in
+ * between; but each turn of a busy event loop takes long.
  */
-const HEARTBEATS_PER_EVENT_LOOP_TURN = 20;
+const MIN_HEARTBEATS_PER_TURN = 20;
+const MIN_TIME_PER_TURN = ms(40);
 /**
  * Once the response to a batch holds this many commands, the remaining heartbeats are refused and wait for another
  * batch, so that the response fits a frame.
@@ -56,6 +58,13 @@
   servedLocallyUntil: SteadyMs | undefined;
 }
 
+/** One turn of the event loop in which a part of a batch is handled. */
+interface Turn {
+  readonly startedAt: SteadyMs;
+  /** How many heartbeats of the batch were handled in earlier turns. */
+  readonly handledBefore: number;
+}
+
 const REFUSED: HeartbeatResponse = { outcome: 'refused', baseline: 0, commands: [] };
 const BASELINE_UNKNOWN: HeartbeatResponse = {
   outcome: 'baselineUnknown',
@@ -155,10 +164,12 @@
     if (!term || !(await this.waitUntilReady(term))) return allRefused(heartbeats.length);
     const responses: HeartbeatResponse[] = [];
     let commandCount = 0;
+    let turn = { startedAt: this.clock.steady(), handledBefore: 0 };
     for (const relayed of heartbeats) {
-      if (responses.length > 0 && responses.length % HEARTBEATS_PER_EVENT_LOOP_TURN === 0) {
+      if (this.isTurnOver(turn, responses.length)) {
         await sleep(this.clock, ms(0));
         if (this.leaderView.authorisedTerm() !== term) return allRefused(heartbeats.length);
+        turn = { startedAt: this.clock.steady(), handledBefore: responses.length };
       }
       const isFull = commandCount >= MAX_COMMANDS_PER_BATCH;
       const response = isFull ? REFUSED : this.respondToRelayed(term, sender, epoch, relayed);
@@ -170,6 +181,13 @@
     return { type: 'heartbeatResponses', epoch: term.epoch, responses };
   }
 
+  private isTurnOver({ startedAt, handledBefore }: Turn, handledCount: number): boolean {
+    return (
+      handledCount - handledBefore >= MIN_HEARTBEATS_PER_TURN &&
+      durationBetween(startedAt, this.clock.steady()) >= MIN_TIME_PER_TURN
+    );
+  }
+
   private respondToRelayed(
     term: Term,
     sender: ControllerId,
--- a/test/unit/worker-heartbeat-handler.test.ts
+++ b/test/unit/worker-heartbeat-handler.test.ts
@@ -9,7 +9,7 @@
 import { shouldRedirectWorkers } from '../../src/leader/worker-redirects.js';
 import { MAX_FRAME_BYTES } from '../../src/peer/framing.js';
 import { encodeResponse } from '../../src/peer/codec.js';
-import { ControllerId, seconds } from '../../src/units/index.js';
+import { ControllerId, seconds, ms } from '../../src/units/index.js';
 import { encode, encodeHeartbeat, type Heartbeat, type Command } from '../../src/wire/index.js';
 import { EPOCH, createLeaderRequestHandlers } from '../support/leader-request-handlers.js';
 
@@ -161,3 +161,43 @@
   );
   assert.ok(encodeResponse(1, response).length < MAX_FRAME_BYTES);
 });
+
+void test('a batch is handled in few turns of a busy event loop, and heartbeats that take long leave turns to other work', async () => {
+  const turnMs = 300;
+  const batchSize = 160;
+  const cases: [name: string, heartbeatMs: number, maxBatchMs: number, maxStretchMs: number][] = [
+    ['fast heartbeats', 0.2, 1000, 100],
+    ['code that is not compiled yet', 5, 8 * (turnMs + 100), 100],
+  ];
+  for (const [name, heartbeatMs, maxBatchMs, maxStretchMs] of cases) {
+    const { workerHeartbeatHandler, term, time, clock } = createLeaderRequestHandlers({
+      kind: 'absent',
+    });
+    const after = clock.after.bind(clock);
+    clock.after = (delay, run) => after(ms(Math.max(delay, turnMs)), run);
+    let stretchMs = 0;
+    let longestStretchMs = 0;
+    let lastAt = 0;
+    Object.assign(term, {
+      handleRelayedHeartbeat: () => {
+        if (time.now - lastAt >= turnMs) stretchMs = 0;
+        time.now += heartbeatMs;
+        lastAt = time.now;
+        stretchMs += heartbeatMs;
+        longestStretchMs = Math.max(longestStretchMs, stretchMs);
+        return { response: { fencingToken: EPOCH, commands: [] }, baseline: 1 };
+      },
+    });
+    const batch = Array.from({ length: batchSize }, (_, i) => {
+      return { kind: 'full' as const, heartbeat: heartbeatOf(`vm-${i}`) };
+    });
+    let handledAt = Infinity;
+    void workerHeartbeatHandler
+      .handleRelayed(ControllerId('node-1'), EPOCH, batch)
+      .then(() => (handledAt = time.now));
+    await new Promise((resolve) => setImmediate(resolve));
+    await time.run(10_000);
+    assert.ok(handledAt <= maxBatchMs, `${name}: took ${handledAt} ms`);
+    assert.ok(longestStretchMs <= maxStretchMs, `${name}: ${longestStretchMs} ms in one turn`);
+  }
+});
