Relay heartbeats in further batches once one has waited for half a second

What callers saw: with a leader that responds late, workers got 503 or no response to heartbeats, went from controller to controller and lost their leases.

Cause: a follower had one batch of heartbeats in flight and made it smaller the later the leader responded. The rate of heartbeats then fell with the response time, whatever caused the delay: 40 in 0.7 s, or 10 in 1.5 s, for 1,400 workers of which 467 report each second. A leader of 4,000 machines that is late because of other work lost its workers.

Fix: up to eight batches may be in flight. A further one leaves only once a heartbeat has waited for 0.5 s, so that followers of a fast leader send what they sent before.

--- a/src/relay/heartbeat-batch.ts
+++ b/src/relay/heartbeat-batch.ts
@@ -19,6 +19,7 @@
 /** A heartbeat that waits for the leader's response. */
 export interface PendingHeartbeat {
   readonly heartbeat: Heartbeat;
+  readonly arrivedAt: SteadyMs;
   /** The size of the worker's message. */
   readonly sizeBytes: number;
   /** Until when it waits for a leader with the authority to respond. */
--- a/src/relay/heartbeat-relay.ts
+++ b/src/relay/heartbeat-relay.ts
@@ -11,8 +11,9 @@
   ms,
   durationBetween,
   type Clock,
+  SteadyMs,
   type ControllerId,
-  type SteadyMs,
+  type Timer,
 } from '../units/index.js';
 import type { Heartbeat, WorkerHeartbeatResponse } from '../wire/index.js';
 import { Baselines } from './baselines.js';
@@ -25,6 +26,12 @@
 
 /** Heartbeats that arrive within this time go into one batch; the first one after an idle period is sent at once. */
 const BATCH_WINDOW = ms(100);
+/**
+ * A further batch is sent while others are in flight only once a heartbeat has waited for this long: a leader under high
+ * load otherwise gets fewer but larger batches.
+ */
+const MAX_BATCH_WAIT = ms(500);
+const MAX_BATCHES_IN_FLIGHT = 8;
 /** Less than the 4 s after which a worker stops waiting for a response. */
 const BATCH_TIMEOUT = ms(2500);
 /**
@@ -51,7 +58,9 @@
   private readonly baselines = new Baselines();
   private pending: PendingHeartbeat[] = [];
   private isFlushScheduled = false;
-  private isBatchInFlight = false;
+  private isWaitingForLeader = false;
+  private flushTimer: Timer | undefined;
+  private batchesInFlight = 0;
   private batchSize = INITIAL_BATCH_SIZE;
   private lastSentAt: SteadyMs | undefined;
 
@@ -66,6 +75,7 @@
     return new Promise((resolve) => {
       this.pending.push({
         heartbeat,
+        arrivedAt: now,
         sizeBytes,
         leaderWaitDeadline: addDuration(now, MAX_LEADER_WAIT),
         workerDeadline: addDuration(now, MAX_HEARTBEAT_AGE),
@@ -76,19 +86,31 @@
     });
   }
 
-  /** Only one batch is in flight at a time, so that a leader under high load gets fewer but larger batches. */
   private scheduleFlush(): void {
-    if (this.isFlushScheduled || this.isBatchInFlight || this.pending.length === 0) return;
+    const [oldest] = this.pending;
+    if (this.isFlushScheduled || !oldest || this.batchesInFlight >= MAX_BATCHES_IN_FLIGHT) return;
     this.isFlushScheduled = true;
     const { clock } = this.options;
     const now = clock.steady();
-    const delay =
-      this.lastSentAt === undefined ? 0 : BATCH_WINDOW - durationBetween(this.lastSentAt, now);
-    clock.after(ms(Math.max(0, delay)), () => this.flush());
+    const windowEnd =
+      this.lastSentAt === undefined ? now : addDuration(this.lastSentAt, BATCH_WINDOW);
+    const waitEnd =
+      this.batchesInFlight === 0 ? now : addDuration(oldest.arrivedAt, MAX_BATCH_WAIT);
+    const delay = durationBetween(now, SteadyMs(Math.max(now, windowEnd, waitEnd)));
+    this.flushTimer = clock.after(delay, () => this.flush());
+  }
+
+  /** Lets the next batch go as early as it may now that one is no longer in flight. */
+  private rescheduleFlush(): void {
+    if (this.isWaitingForLeader) return;
+    this.flushTimer?.cancel();
+    this.isFlushScheduled = false;
+    this.scheduleFlush();
   }
 
   private flush(): void {
     this.isFlushScheduled = false;
+    this.isWaitingForLeader = false;
     const { clock, log, leaderPeer } = this.options;
     const peer = leaderPeer();
     if (!peer) {
@@ -99,12 +121,13 @@
     const { batch, rest } = takeBatch(this.pending, this.batchSize, this.lastSentAt);
     this.pending = rest;
     if (batch.length === 0) return;
-    this.isBatchInFlight = true;
+    this.batchesInFlight++;
     const sent = this.sendBatch(peer, batch).finally(() => {
-      this.isBatchInFlight = false;
-      this.scheduleFlush();
+      this.batchesInFlight--;
+      this.rescheduleFlush();
     });
     runInBackground(sent, log, 'relaying a batch of heartbeats to the leader');
+    this.scheduleFlush();
   }
 
   private waitForLeader(): void {
@@ -118,6 +141,7 @@
     this.pending = waiting;
     if (waiting.length === 0) return;
     this.isFlushScheduled = true;
+    this.isWaitingForLeader = true;
     clock.after(LEADER_POLL_INTERVAL, () => this.flush());
   }
 
--- a/test/sim/relay-overload.test.ts
+++ b/test/sim/relay-overload.test.ts
@@ -6,7 +6,7 @@
 import { test } from 'node:test';
 import { ControllerId } from '../../src/units/index.js';
 import { encode, encodeHeartbeat, type Heartbeat } from '../../src/wire/index.js';
-import { BusyLeader } from '../standin/busy-leader.js';
+import { BusyLeader, type LeaderCosts } from '../standin/busy-leader.js';
 import { createLeaderRequestHandlers } from '../support/leader-request-handlers.js';
 
 /** The times of the protocol. */
@@ -20,7 +20,9 @@
 /** A third of 4,200 workers, and the polls of a third of 12,600 jobs: twice what the leader can answer. */
 const WORKER_COUNT = 1400;
 const JOB_COUNT = 4200;
-const LEADER_COSTS = { userRequestMs: 2, heartbeatMs: 0.2 };
+const LEADER_COSTS: LeaderCosts = { userRequestMs: 2, heartbeatMs: 0.2, turnMs: 0 };
+/** A leader whose event loop is behind with other work. */
+const LATE_LEADER_COSTS: LeaderCosts = { ...LEADER_COSTS, turnMs: 700 };
 const RUN_MS = 160_000;
 /** A refusal needs nothing from the leader. */
 const MAX_REFUSAL_MS = 100;
@@ -41,13 +43,10 @@
 type Follower = ReturnType<typeof createLeaderRequestHandlers>;
 
 /** Creates a follower of a leader that handles requests in the order of arrival. */
-function createFollower(): Follower {
+function createFollower(costs: LeaderCosts): Follower {
   const follower = createLeaderRequestHandlers({ kind: 'absent' });
   follower.loseAuthority();
-  follower.peers.set(
-    ControllerId('node-0'),
-    new BusyLeader(follower.time, follower.clock, LEADER_COSTS),
-  );
+  follower.peers.set(ControllerId('node-0'), new BusyLeader(follower.time, follower.clock, costs));
   // The share of the store's rate is used up.
   follower.jobRecords.lookUp = () => Promise.resolve({ kind: 'unknown' });
   return follower;
@@ -119,7 +118,7 @@
 }
 
 void test('workers keep their leases and every poll is answered or refused at once, with twice the polls that the leader can answer', async () => {
-  const follower = createFollower();
+  const follower = createFollower(LEADER_COSTS);
   const workers: WorkerReport = { expiredLeases: 0 };
   const polls: PollReport = {
     answered: 0,
@@ -142,3 +141,13 @@
   assert.ok(polls.longestWithoutAnswerMs < MAX_TIME_WITHOUT_ANSWER_MS, JSON.stringify(polls));
   assert.ok(polls.answered > 0.25 * (polls.answered + polls.refused), JSON.stringify(polls));
 });
+
+void test('workers keep their leases although each response of the leader takes most of a second', async () => {
+  const follower = createFollower(LATE_LEADER_COSTS);
+  const workers: WorkerReport = { expiredLeases: 0 };
+  spread(WORKER_COUNT, HEARTBEAT_INTERVAL_MS, (i, at) =>
+    runWorker(follower, `vm-${i}`, at, workers),
+  );
+  await follower.time.run(RUN_MS);
+  assert.equal(workers.expiredLeases, 0, 'leases that expired');
+});
--- a/test/standin/busy-leader.ts
+++ b/test/standin/busy-leader.ts
@@ -12,6 +12,8 @@
 export interface LeaderCosts {
   readonly userRequestMs: number;
   readonly heartbeatMs: number;
+  /** How long each request waits for its turn in the event loop, beside the processing time of others. */
+  readonly turnMs: number;
 }
 
 const EPOCH = 7;
@@ -34,7 +36,7 @@
     this.idleAt = Math.max(this.idleAt, now) + this.costOf(request);
     return new Promise((resolve) => {
       const timer = this.clock.after(timeout, () => resolve(undefined));
-      this.time.after(this.idleAt - now, () => {
+      this.time.after(this.idleAt - now + this.costs.turnMs, () => {
         timer.cancel();
         resolve(responseTo(request));
       });
