--- a/src/api/peer-request-handler.ts
+++ b/src/api/peer-request-handler.ts
@@ -9,6 +9,7 @@
 } from '../peer/messages.js';
 import { sendCommandsToWorker } from '../relay/worker-commands.js';
 import { JobId, durationBetween, type Clock } from '../units/index.js';
+import { TurnLimiter } from '../units/turn-limiter.js';
 import { encode } from '../wire/index.js';
 import type { LeaderView } from './leader-view.js';
 import type { ApiResponse } from './api-response.js';
@@ -16,6 +17,12 @@
 import type { UserRequestHandler } from './user-request-handler.js';
 import type { WorkerHeartbeatHandler } from './worker-heartbeat-handler.js';
 
+/**
+ * How many relayed requests of users begin in one turn of the event loop, so that heartbeats, connections and the lease
+ * need not wait for all that have arrived.
+ */
+const USER_REQUESTS_PER_TURN = 8;
+
 /** Callbacks for what peers report. */
 export interface PeerEvents {
   onImageHints(machines: readonly MachineImages[]): void;
@@ -29,14 +36,18 @@
   readonly userRequestHandler: UserRequestHandler;
   readonly workerHeartbeatHandler: WorkerHeartbeatHandler;
   readonly requestMetrics: Pick<RequestMetrics, 'record'>;
-  readonly clock: Pick<Clock, 'steady'>;
+  readonly clock: Pick<Clock, 'steady' | 'after'>;
   readonly http: HttpClient;
   readonly events: PeerEvents;
 }
 
 /** Dispatches each request of a peer to its handler. */
 export class PeerRequestHandler {
-  constructor(private readonly deps: PeerRequestDependencies) {}
+  private readonly userRequestTurns: TurnLimiter;
+
+  constructor(private readonly deps: PeerRequestDependencies) {
+    this.userRequestTurns = new TurnLimiter(deps.clock, USER_REQUESTS_PER_TURN);
+  }
 
   /** Handles a request according to its type. */
   async handle(request: PeerRequest): Promise<PeerResponse> {
@@ -67,6 +78,7 @@
   private async handleUserRequest(request: UserPeerRequest): Promise<PeerResponse> {
     const { clock, requestMetrics, userRequestHandler } = this.deps;
     const startedAt = clock.steady();
+    await this.userRequestTurns.waitForTurn();
     const response = await userRequestHandler.handleRelayed(request);
     requestMetrics.record('relayed', response, durationBetween(startedAt, clock.steady()));
     return toUserResponse(response);
