--- a/test/unit/turn-limiter.test.ts
+++ b/test/unit/turn-limiter.test.ts
@@ -46,7 +46,7 @@
 }
 
 void test('connections are accepted while a burst of relayed requests is handled', async () => {
-  const requestCount = 200;
+  const requestCount = 640;
   const connectionCount = 10;
   let handledCount = 0;
   const handler = new PeerRequestHandler({
