--- a/src/api/peer-request-handler.ts
+++ b/src/api/peer-request-handler.ts
@@ -8,23 +8,14 @@
   UserPeerRequest,
 } from '../peer/messages.js';
 import { sendCommandsToWorker } from '../relay/worker-commands.js';
-import { JobId, durationBetween, ms, type Clock } from '../units/index.js';
-import { TurnLimiter } from '../units/turn-limiter.js';
+import { JobId, durationBetween, type Clock } from '../units/index.js';
 import { encode } from '../wire/index.js';
 import type { LeaderView } from './leader-view.js';
-import { serviceUnavailable, type ApiResponse } from './api-response.js';
+import type { ApiResponse } from './api-response.js';
 import type { RequestMetrics } from './request-metrics.js';
 import type { UserRequestHandler } from './user-request-handler.js';
 import type { WorkerHeartbeatHandler } from './worker-heartbeat-handler.js';
 
-/**
- * How many relayed requests of users begin in one turn of the event loop, so that heartbeats, connections and the lease
- * need not wait for all that have arrived.
- */
-const USER_REQUESTS_PER_TURN = 32;
-/** The peer no longer waits for the response to a read that has waited for its turn for this long. */
-const MAX_READ_WAIT = ms(1200);
-
 /** Callbacks for what peers report. */
 export interface PeerEvents {
   onImageHints(machines: readonly MachineImages[]): void;
@@ -38,18 +29,14 @@
   readonly userRequestHandler: UserRequestHandler;
   readonly workerHeartbeatHandler: WorkerHeartbeatHandler;
   readonly requestMetrics: Pick<RequestMetrics, 'record'>;
-  readonly clock: Pick<Clock, 'steady' | 'after'>;
+  readonly clock: Pick<Clock, 'steady'>;
   readonly http: HttpClient;
   readonly events: PeerEvents;
 }
 
 /** Dispatches each request of a peer to its handler. */
 export class PeerRequestHandler {
-  private readonly userRequestTurns: TurnLimiter;
-
-  constructor(private readonly deps: PeerRequestDependencies) {
-    this.userRequestTurns = new TurnLimiter(deps.clock, USER_REQUESTS_PER_TURN);
-  }
+  constructor(private readonly deps: PeerRequestDependencies) {}
 
   /** Handles a request according to its type. */
   async handle(request: PeerRequest): Promise<PeerResponse> {
@@ -80,12 +67,7 @@
   private async handleUserRequest(request: UserPeerRequest): Promise<PeerResponse> {
     const { clock, requestMetrics, userRequestHandler } = this.deps;
     const startedAt = clock.steady();
-    await this.userRequestTurns.waitForTurn();
-    const waited = durationBetween(startedAt, clock.steady());
-    const response =
-      request.type === 'readJob' && waited > MAX_READ_WAIT
-        ? serviceUnavailable('deadlineExceeded')
-        : await userRequestHandler.handleRelayed(request);
+    const response = await userRequestHandler.handleRelayed(request);
     requestMetrics.record('relayed', response, durationBetween(startedAt, clock.steady()));
     return toUserResponse(response);
   }
--- a/src/relay/concurrency-limit.ts
+++ b/src/relay/concurrency-limit.ts
@@ -1,14 +1,14 @@
 /** Limits the requests in flight to a peer by how fast it responds. */
 import { durationBetween, ms, type DurationMs, type SteadyMs } from '../units/index.js';
 
-const INITIAL_LIMIT = 256;
+const INITIAL_LIMIT = 128;
 /** A leader that is late because of other work still gets this many. */
-const MIN_LIMIT = 128;
+const MIN_LIMIT = 64;
 const MAX_LIMIT = 1024;
 /** Responses slower than this mean that requests queue at the peer. */
-const SLOW_RESPONSE_TIME = ms(800);
+const SLOW_RESPONSE_TIME = ms(600);
 /** Responses faster than this mean that the peer can take more requests. */
-const FAST_RESPONSE_TIME = ms(500);
+const FAST_RESPONSE_TIME = ms(300);
 /** By how much the limit grows while as many requests as it allows get fast responses. */
 const GROWTH_PER_ROUND = 16;
 const DECREASE_FACTOR = 0.7;
