Review case 2: a late copy of a start command runs a task twice

Shows that a worker is told to forget an attempt three leases after its end, while copies of its start command may be minutes late: the copy starts the task while it runs on another machine.

--- a/review/lib/cluster.mjs
+++ b/review/lib/cluster.mjs
@@ -70,8 +70,8 @@
   /**
    * `options`: `record`; `settings`, `machineTypes`, `storeLatencyMs` and `cloudLatencyMs` of the site; `capacity`, the
    * machines of each type, zone and kind; `tasks`, the environment of the workers' tasks; and the optional hooks
-   * `onCloudRequest` and `onStoreResponse`, which see requests and may delay their answers, and `peerPort`, the port
-   * at which one controller reaches another.
+   * `onCloudRequest`, `onStoreResponse` and `onWorkerRequest`, which see requests, `peerPort`, the port at which one
+   * controller reaches another, and `firstControllerOf`, the index of the controller to which a new worker reports.
    */
   static async create(options) {
     const { settings } = options;
@@ -235,7 +235,7 @@
       })),
       http: this.client,
       clock: systemClock,
-      random: Math.random,
+      random: this.randomOfWorker(machine),
       times: {
         heartbeatMs: settings.workers.report_s * 1000,
         leaseMs: settings.workers.lease_s * 1000,
@@ -245,7 +245,10 @@
     const [host, port] = machine.address.split(':');
     const server = serve(
       Number(port),
-      (method, path, body) => worker.handle(method, path, body),
+      (method, path, body) => {
+        this.options.onWorkerRequest?.(machine, { method, path, body });
+        return worker.handle(method, path, body);
+      },
       'controller',
       host,
     );
@@ -253,6 +256,18 @@
     this.record.add(`${machine.id} is up (${machine.machineType}, ${machine.zone})`);
   }
 
+  /** The first number that a worker draws decides to which controller it reports first. */
+  randomOfWorker(machine) {
+    const index = this.options.firstControllerOf?.(machine);
+    if (index === undefined) return Math.random;
+    let isFirst = true;
+    return () => {
+      if (!isFirst) return Math.random();
+      isFirst = false;
+      return (index + 0.5) / this.controllers.length;
+    };
+  }
+
   endWorker(machine) {
     const served = this.workers.get(machine.id);
     this.record.add(
