--- a/review/lib/cluster.mjs
+++ b/review/lib/cluster.mjs
@@ -70,8 +70,8 @@
   /**
    * `options`: `record`; `settings`, `machineTypes`, `storeLatencyMs` and `cloudLatencyMs` of the site; `capacity`, the
    * machines of each type, zone and kind; `tasks`, the environment of the workers' tasks; and the optional hooks
-   * `onCloudRequest`, `onStoreResponse` and `onWorkerRequest`, which see requests, `peerPort`, the port at which one
-   * controller reaches another, and `firstControllerOf`, the index of the controller to which a new worker reports.
+   * `onCloudRequest`, `onStoreResponse` and `onWorkerRequest`, which see requests and may delay the answers of the state
+   * service, and `firstControllerOf`, the index of the controller to which a new worker reports.
    */
   static async create(options) {
     const { settings } = options;
@@ -161,7 +161,7 @@
         .map((other) => ({
           node: other.name,
           area: areaOf(other.index),
-          endpoint: loopback(this.options.peerPort?.(controller, other) ?? other.peers),
+          endpoint: loopback(other.peers),
         })),
       endpoints: { cloud: loopback(controller.cloud), state: loopback(controller.store) },
       params: {
