--- a/review/lib/cluster.mjs
+++ b/review/lib/cluster.mjs
@@ -4,6 +4,7 @@
  * ports of its own for store and cloud, so that the record tells who sent a request.
  */
 import { spawn } from 'node:child_process';
+import { randomInt } from 'node:crypto';
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import net from 'node:net';
 import { tmpdir } from 'node:os';
@@ -27,19 +28,28 @@
 const ROOT = new URL('../../', import.meta.url);
 const MAX_SOCKETS = 4000;
 
+/** Ports are taken from below the range that the system uses for outgoing connections. */
+const FIRST_PORT = 12_000;
+const LAST_PORT = 30_000;
+
 /** Finds `count` free ports of the loopback address. */
 async function freePorts(count) {
-  const servers = [];
-  for (let i = 0; i < count; i++) {
+  const servers = new Map();
+  while (servers.size < count) {
+    const port = randomInt(FIRST_PORT, LAST_PORT);
+    if (servers.has(port)) continue;
     const server = net.createServer();
-    await new Promise((resolve, reject) => {
-      server.once('error', reject);
-      server.listen(0, '127.0.0.1', resolve);
+    const isFree = await new Promise((resolve) => {
+      server.once('error', () => resolve(false));
+      server.listen(port, '127.0.0.1', () => resolve(true));
     });
-    servers.push(server);
+    if (isFree) servers.set(port, server);
   }
-  const ports = servers.map((server) => server.address().port);
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
+  const ports = [...servers.keys()];
+  const closed = [...servers.values()].map(
+    (server) => new Promise((resolve) => server.close(resolve)),
+  );
+  await Promise.all(closed);
   return ports;
 }
 
@@ -380,29 +390,36 @@
   }
 }
 
+/** The exit status if a rule was broken. Node itself exits with 1 if a script can't be loaded. */
+const BROKEN_STATUS = 10;
+
 /**
- * Runs a case: `play` returns a list of broken rules. Writes record.txt and exits with 1 if a rule was broken, 0 if
- * all held, and 2 if the case could not run.
+ * Runs a case: `play` returns a list of broken rules. Writes record.txt and exits with `BROKEN_STATUS` if a rule was
+ * broken, with 0 if all held, and with 2 if the case could not run.
  */
 export async function runCase(folder, play) {
   const record = new Record(folder);
   let cluster;
-  let status = 2;
-  const end = () => {
+  const end = (status) => {
     cluster?.close();
     record.write();
     process.exit(status);
   };
-  for (const signal of ['SIGINT', 'SIGTERM']) process.once(signal, end);
+  const fail = (error) => {
+    record.add(`the case could not run: ${error.stack}`);
+    process.stderr.write(`could not run: ${error.message}\n`);
+    end(2);
+  };
+  process.once('uncaughtException', fail);
+  for (const signal of ['SIGINT', 'SIGTERM'])
+    process.once(signal, () => fail(new Error(`ended by ${signal}`)));
   try {
     const broken = await play(record, (created) => (cluster = created));
     for (const line of broken) record.add(`BROKEN: ${line}`);
     record.add(broken.length > 0 ? 'result: the rule was broken' : 'result: the rule held');
-    status = broken.length > 0 ? 1 : 0;
     process.stdout.write(`${broken.length > 0 ? `broken: ${broken[0]}` : 'held'}\n`);
+    end(broken.length > 0 ? BROKEN_STATUS : 0);
   } catch (error) {
-    record.add(`the case could not run: ${error.stack}`);
-    process.stderr.write(`could not run: ${error.message}\n`);
+    fail(error);
   }
-  end();
 }
