--- a/src/leader/response-commands.ts
+++ b/src/leader/response-commands.ts
@@ -23,7 +23,7 @@
 
   constructor(
     private readonly ledger: Pick<Ledger, 'jobs' | 'finalState'>,
-    deps: Pick<TermDependencies, 'clock' | 'settings'>,
+    private readonly deps: Pick<TermDependencies, 'clock' | 'log' | 'settings'>,
   ) {
     this.clearance = new AttemptClearance(ledger, deps);
   }
@@ -35,10 +35,19 @@
       const command = this.commandForReportedTask(machine, task);
       if (command) commands.push(command);
     }
+    this.logCleared(machine, commands);
     this.addStarts(commands, machine, status);
     return commands;
   }
 
+  private logCleared(machine: Machine, commands: readonly Command[]): void {
+    const { log } = this.deps;
+    if (!log.isLevelEnabled('debug')) return;
+    const attempts = commands.filter(({ type }) => type === 'clear').map(attemptOf);
+    if (attempts.length === 0) return;
+    log.debug({ machine: machine.id, attempts }, 'worker is told to forget exited attempts');
+  }
+
   private commandForReportedTask(machine: Machine, status: TaskStatus): Command | undefined {
     const { task, attempt, state } = status;
     const ref = parseTaskKey(task);
@@ -81,6 +90,8 @@
   }
 }
 
+const attemptOf = ({ task, attempt }: Command): string => attemptKey(task, attempt);
+
 /** A task of an inherited placement isn't started, but requeued once it is proven absent from the machine. */
 const isStartable = (job: Job, placement: Placement): boolean =>
   !placement.isInherited && isCommitted(job, placement);
--- a/test/unit/direct-command-sender.test.ts
+++ b/test/unit/direct-command-sender.test.ts
@@ -128,7 +128,11 @@
     if (isEvicted) placement.evictionGraceSeconds = 0;
     if (mayStillArrive) machine.directStarts.recordSent(attemptKey(key, placement.attempt));
     const ledger = { jobs: new Map([[job.id, job]]), finalState: () => undefined };
-    const responseCommands = new ResponseCommands(ledger, { clock, settings });
+    const responseCommands = new ResponseCommands(ledger, {
+      clock,
+      settings,
+      log: pino({ level: 'silent' }),
+    });
     const commands = responseCommands.commandsForHeartbeat(machine, toWorkerStatus(heartbeat));
     assert.deepEqual(
       commands.map((command) => command.type),
