--- a/src/api/peer-request-handler.ts
+++ b/src/api/peer-request-handler.ts
@@ -50,11 +50,7 @@
       case 'jobNotice':
         return { type: 'acknowledged', ok: await this.loadJob(JobId(request.job)) };
       case 'workerHeartbeats':
-        return workerHeartbeatHandler.handleRelayed(
-          request.node,
-          request.epoch,
-          request.heartbeats,
-        );
+        return workerHeartbeatHandler.handleRelayed(request);
       case 'sendCommands':
         return sendCommandsToWorker(http, request);
       case 'submitJob':
--- a/src/api/worker-heartbeat-handler.ts
+++ b/src/api/worker-heartbeat-handler.ts
@@ -3,7 +3,12 @@
  * Only the leader may cause a 200, since a 200 renews the lease of all tasks on a machine.
  */
 import type { Term } from '../leader/term.js';
-import type { PeerResponse, RelayedHeartbeat, HeartbeatResponse } from '../peer/messages.js';
+import type {
+  FencedHeartbeatResponse,
+  PeerResponse,
+  RelayedHeartbeat,
+  WorkerHeartbeatsRequest,
+} from '../peer/messages.js';
 import type { HeartbeatRelay } from '../relay/heartbeat-relay.js';
 import {
   MachineId,
@@ -65,12 +70,13 @@
   readonly handledBefore: number;
 }
 
-const REFUSED: HeartbeatResponse = { outcome: 'refused', baseline: 0, commands: [] };
-const BASELINE_UNKNOWN: HeartbeatResponse = {
-  outcome: 'baselineUnknown',
+const REFUSED: FencedHeartbeatResponse = {
+  outcome: 'refused',
   baseline: 0,
   commands: [],
+  fencingToken: 0,
 };
+const BASELINE_UNKNOWN: FencedHeartbeatResponse = { ...REFUSED, outcome: 'baselineUnknown' };
 
 /** The parts of the controller that handling heartbeats depends on. */
 export interface WorkerHeartbeatDependencies {
@@ -131,7 +137,7 @@
 
   private async respondAsLeader(heartbeat: Heartbeat, term: Term): Promise<ApiResponse> {
     // The worker has seen a newer fencing token, so this term has been superseded.
-    if (heartbeat.fencingToken > term.epoch) return CANNOT_HANDLE_HEARTBEAT;
+    if (heartbeat.fencingToken > term.highestFencingToken) return CANNOT_HANDLE_HEARTBEAT;
     const follower = term.isRedirectingWorkers
       ? this.redirectTargetFor(heartbeat.machine)
       : undefined;
@@ -155,14 +161,11 @@
   }
 
   /** Handles heartbeats that a peer relayed and returns one response for each, in the same order. */
-  async handleRelayed(
-    sender: ControllerId,
-    epoch: number,
-    heartbeats: readonly RelayedHeartbeat[],
-  ): Promise<PeerResponse> {
+  async handleRelayed(request: WorkerHeartbeatsRequest): Promise<PeerResponse> {
+    const { heartbeats } = request;
     const term = this.leaderView.authorisedTerm();
     if (!term || !(await this.waitUntilReady(term))) return allRefused(heartbeats.length);
-    const responses: HeartbeatResponse[] = [];
+    const responses: FencedHeartbeatResponse[] = [];
     let commandCount = 0;
     let turn = { startedAt: this.clock.steady(), handledBefore: 0 };
     for (const relayed of heartbeats) {
@@ -172,13 +175,15 @@
         turn = { startedAt: this.clock.steady(), handledBefore: responses.length };
       }
       const isFull = commandCount >= MAX_COMMANDS_PER_BATCH;
-      const response = isFull ? REFUSED : this.respondToRelayed(term, sender, epoch, relayed);
+      const response = isFull ? REFUSED : this.respondToRelayed(term, request, relayed);
       commandCount += response.commands.length;
       responses.push(response);
     }
     // These responses may lead to a 200 only if the term still has authority after all heartbeats are handled.
     if (this.leaderView.authorisedTerm() !== term) return allRefused(heartbeats.length);
-    return { type: 'heartbeatResponses', epoch: term.epoch, responses };
+    return request.readsFencingTokens
+      ? { type: 'fencedHeartbeatResponses', epoch: term.epoch, responses }
+      : withCommonToken(term, heartbeats, responses);
   }
 
   private isTurnOver({ startedAt, handledBefore }: Turn, handledCount: number): boolean {
@@ -190,20 +195,20 @@
 
   private respondToRelayed(
     term: Term,
-    sender: ControllerId,
-    epoch: number,
+    { node: sender, epoch }: WorkerHeartbeatsRequest,
     relayed: RelayedHeartbeat,
-  ): HeartbeatResponse {
+  ): FencedHeartbeatResponse {
+    const { fencingToken } = relayed.kind === 'full' ? relayed.heartbeat : relayed;
+    if (fencingToken > term.highestFencingToken) return REFUSED;
     if (relayed.kind === 'full') {
-      if (relayed.heartbeat.fencingToken > term.epoch) return REFUSED;
       const { response, baseline } = term.handleRelayedHeartbeat(relayed.heartbeat, sender);
-      return { outcome: 'accepted', baseline, commands: response.commands };
+      return { outcome: 'accepted', baseline, ...response };
     }
-    if (relayed.fencingToken > term.epoch) return REFUSED;
-    if (epoch !== term.epoch) return BASELINE_UNKNOWN;
+    // A follower of an earlier version takes the token of a batch for the epoch, and the tokens of a term are its own.
+    if (epoch < term.epoch || epoch > term.highestFencingToken) return BASELINE_UNKNOWN;
     const response = term.handleUnchangedHeartbeat(relayed, sender);
     if (!response) return BASELINE_UNKNOWN;
-    return { outcome: 'accepted', baseline: relayed.unchangedSince, commands: response.commands };
+    return { outcome: 'accepted', baseline: relayed.unchangedSince, ...response };
   }
 
   /** The follower that a worker is redirected to; undefined if no peer is responsive. */
@@ -247,6 +252,25 @@
   responses: Array.from({ length: count }, () => REFUSED),
 });
 
+/**
+ * The responses for a follower that reads only one token for the whole batch. It is the highest one, since a worker drops
+ * a response with a lower token than it has seen.
+ */
+function withCommonToken(
+  term: Term,
+  heartbeats: readonly RelayedHeartbeat[],
+  responses: readonly FencedHeartbeatResponse[],
+): PeerResponse {
+  const tokens = responses.map(({ fencingToken }) => fencingToken);
+  const epoch = Math.max(term.epoch, ...tokens);
+  for (const [i, relayed] of heartbeats.entries()) {
+    if (responses[i]?.outcome !== 'accepted') continue;
+    const { machine } = relayed.kind === 'full' ? relayed.heartbeat : relayed;
+    term.recordFencingTokenSent(machine, epoch);
+  }
+  return { type: 'heartbeatResponses', epoch, responses };
+}
+
 function parseHeartbeat(body: Buffer): Heartbeat | undefined {
   try {
     return decodeHeartbeat(decode(body));
--- a/src/fleet/attempt-absence.ts
+++ b/src/fleet/attempt-absence.ts
@@ -1,6 +1,7 @@
 /** Proves that an attempt of a task is not on its machine and can no longer be started there. */
 import type { Epoch } from '../units/index.js';
 import { TaskState } from '../wire/index.js';
+import type { DirectStarts } from './direct-starts.js';
 import type { MessageOrder, StatusSource, WorkerStatus } from './worker-status.js';
 
 /** How the start command of an attempt was sent. `Placement` satisfies this interface. */
@@ -19,8 +20,8 @@
   /** The key of the attempt (`attemptKey`). */
   readonly attempt: string;
   readonly start: StartRecord;
-  /** Attempts on this machine whose direct start command is unacknowledged and may be delivered at any time. */
-  readonly unacknowledgedStarts: ReadonlySet<string>;
+  /** The direct start commands to this machine. */
+  readonly directStarts: Pick<DirectStarts, 'isExecutableUnder'>;
   /** The current leader's epoch. A worker that has seen it refuses start commands of earlier leaders. */
   readonly epoch: Epoch;
 }
@@ -30,19 +31,21 @@
  * to a heartbeat before it sends the next heartbeat, or never. A start command that was sent in the response to
  * an earlier heartbeat is therefore no longer in flight when a later heartbeat arrives. A response to direct
  * commands proves this only if it belongs to a later session, since it may overtake the response to a heartbeat.
- * If no response carried the start command, a status from either source is proof.
+ * If no response carried the start command, a status from either source is proof. A direct start command may arrive at
+ * any time, again and again, until the worker has seen a higher fencing token.
  */
 export function isProvenAbsent({
   status,
   source,
   attempt,
   start,
-  unacknowledgedStarts,
+  directStarts,
   epoch,
 }: AbsenceEvidence): boolean {
   const reported = status.byAttempt.get(attempt);
-  if (reported && reported.state !== TaskState.exited) return false;
-  if (unacknowledgedStarts.has(attempt)) return false;
+  // A start command has no effect while the worker knows that the attempt has exited.
+  if (reported) return reported.state === TaskState.exited;
+  if (directStarts.isExecutableUnder(status.fencingToken, attempt)) return false;
   if (start.isInherited && status.fencingToken < epoch) return false;
   const { startSentInResponseTo } = start;
   if (!startSentInResponseTo || status.session > startSentInResponseTo.session) return true;
--- a/src/fleet/direct-starts.ts
+++ b/src/fleet/direct-starts.ts
@@ -1,59 +1,58 @@
 /** Start commands that were sent to a worker's own address rather than in the response to a heartbeat. */
-import type { SteadyMs } from '../units/index.js';
+import type { TaskKey } from '../units/index.js';
+import { attemptKey } from './worker-status.js';
+
+/** A direct start command. */
+export interface DirectStart {
+  readonly task: TaskKey;
+  readonly attempt: number;
+  /** The fencing token with which it was sent. */
+  readonly fencingToken: number;
+}
 
 /**
- * The direct start commands of a worker's current session, by `attemptKey`. Until a command is acknowledged, it
- * may still be delivered; after that, a duplicate of it may. Both matter as soon as the worker forgets the
- * attempt, since it would then run the task again.
+ * The direct start commands of a worker's current session that it may still execute. A command, or a copy of it, may
+ * arrive at any later time, whether or not it was executed before. While the worker knows the attempt, that has no
+ * effect. Once the worker has forgotten the attempt, it would run the task again, unless it has seen a fencing token
+ * higher than that of the command.
  */
-export class DirectStarts {
-  private readonly pending = new Set<string>();
-  /** Acknowledged start commands, and when their attempts were first seen to have ended. */
-  private readonly acknowledged = new Map<string, { endedAt: SteadyMs | undefined }>();
-
-  /** Attempts whose start command may still be delivered. */
-  get unacknowledged(): ReadonlySet<string> {
-    return this.pending;
-  }
-
-  isUnacknowledged(attempt: string): boolean {
-    return this.pending.has(attempt);
-  }
-
-  isAcknowledged(attempt: string): boolean {
-    return this.acknowledged.has(attempt);
-  }
+export class DirectStarts implements Iterable<DirectStart> {
+  private readonly byAttempt = new Map<string, DirectStart>();
+  /** The highest token of a start that was removed because the worker refuses it. */
+  private highestFencedToken = -1;
 
-  recordSent(attempt: string): void {
-    this.pending.add(attempt);
+  get size(): number {
+    return this.byAttempt.size;
   }
 
-  /** Records that the start command was certainly not delivered. */
-  recordUndelivered(attempt: string): void {
-    this.pending.delete(attempt);
+  [Symbol.iterator](): IterableIterator<DirectStart> {
+    return this.byAttempt.values();
   }
 
-  /** Records that the worker executed or refused the start command. */
-  recordAcknowledged(attempt: string): void {
-    this.pending.delete(attempt);
-    this.acknowledged.set(attempt, { endedAt: undefined });
+  /**
+   * Whether a start of the attempt may have been sent that a worker still accepts if `fencingToken` is the highest token
+   * that it has seen. A worker that has restarted has seen none, so that it would accept all starts.
+   */
+  isExecutableUnder(fencingToken: number, attempt: string): boolean {
+    const start = this.byAttempt.get(attempt);
+    return fencingToken <= (start?.fencingToken ?? this.highestFencedToken);
   }
 
-  /** Records that an attempt has ended. Returns when this was first recorded. */
-  recordEnded(attempt: string, now: SteadyMs): SteadyMs {
-    const start = this.acknowledged.get(attempt);
-    if (!start) return now;
-    return (start.endedAt ??= now);
+  recordSent(start: DirectStart): void {
+    this.byAttempt.set(attemptKey(start.task, start.attempt), start);
   }
 
-  /** Removes an acknowledged start command. */
-  forget(attempt: string): void {
-    this.acknowledged.delete(attempt);
+  /** Removes the starts that the worker refuses because it has seen a higher fencing token. */
+  removeFenced(fencingToken: number): void {
+    for (const [attempt, start] of this.byAttempt) {
+      if (start.fencingToken >= fencingToken) continue;
+      this.highestFencedToken = Math.max(this.highestFencedToken, start.fencingToken);
+      this.byAttempt.delete(attempt);
+    }
   }
 
-  /** Removes everything once the session has ended, since a command sent to it can no longer be executed. */
+  /** Removes all starts once the session has ended, since the worker refuses commands addressed to it. */
   clear(): void {
-    this.pending.clear();
-    this.acknowledged.clear();
+    this.byAttempt.clear();
   }
 }
--- a/src/fleet/machine.ts
+++ b/src/fleet/machine.ts
@@ -65,6 +65,12 @@
   /** After a direct command without a response, only heartbeat responses carry commands until then. */
   commandsPausedUntil = 0 as SteadyMs;
   hasCommandInFlight = false;
+  /** The highest fencing token in a message to it; 0 while that is the epoch. */
+  fencingToken = 0;
+  /** When its fencing token was last raised. */
+  tokenRaisedAt: SteadyMs | undefined;
+  /** Whether direct starts of an ended session, which its worker would execute after a restart, have the current token. */
+  hasUntrackedStarts = false;
   /** Number of heartbeats in a row that show no effect of the responses to earlier ones. */
   private ignoredResponses = 0;
   /** Since when its heartbeats arrive but nothing sent to it does; undefined while it receives. */
@@ -127,8 +133,9 @@
       this.staleStatusAt = now;
       return false;
     }
-    // A new session has dropped the tasks of the old one and refuses commands addressed to the old one.
-    if (this.status && status.session > this.status.session) this.directStarts.clear();
+    if (this.status && status.session > this.status.session) this.endSession();
+    if (status.fencingToken !== this.status?.fencingToken)
+      this.directStarts.removeFenced(status.fencingToken);
     this.status = status;
     this.cachedLoad = undefined;
     this.isUp = true;
@@ -186,6 +193,15 @@
     this.status = undefined;
     this.cachedLoad = undefined;
     this.isUp = false;
+    this.endSession();
+  }
+
+  /**
+   * The worker has dropped the tasks of the session and refuses commands addressed to it. After a restart it numbers its
+   * sessions from the start and would accept them again, until it sees a higher token.
+   */
+  private endSession(): void {
+    if (this.directStarts.size > 0) this.hasUntrackedStarts = true;
     this.directStarts.clear();
   }
 
--- a/src/leader/attempt-clearance.ts
+++ b/src/leader/attempt-clearance.ts
@@ -1,66 +1,46 @@
 /** Decides when a worker may forget an attempt that has exited. */
 import type { Machine } from '../fleet/machine.js';
 import { attemptKey } from '../fleet/worker-status.js';
-import type { FinalState, Job } from '../ledger/job.js';
-import type { Ledger } from '../ledger/ledger.js';
-import { durationBetween, type TaskRef } from '../units/index.js';
-import { ExitReason, JobStatus, type TaskStatus } from '../wire/index.js';
-import type { TermDependencies } from './term-dependencies.js';
-
-/** The longest delay of a duplicate message, in worker leases. */
-const MAX_DUPLICATE_DELAY_LEASES = 3;
+import type { Job } from '../ledger/job.js';
+import type { TaskRef } from '../units/index.js';
+import { ExitReason, TaskState, type TaskStatus } from '../wire/index.js';
+import type { FencingTokens } from './fencing-tokens.js';
+import { placementOfAttempt } from './placement-state.js';
 
 /**
- * Decides which attempts a worker may forget. Once a worker has forgotten an attempt, a start of it would run it
- * again. Such a start may still be in flight, or be a late duplicate of a start that was executed long ago.
+ * Decides which attempts a worker may forget. Once a worker has forgotten an attempt, a start of it would run the
+ * task again. Such a start may still be in flight, or be a late copy of one that was executed long ago.
  */
 export class AttemptClearance {
-  constructor(
-    private readonly ledger: Pick<Ledger, 'finalState'>,
-    private readonly deps: Pick<TermDependencies, 'clock' | 'settings'>,
-  ) {}
+  constructor(private readonly tokens: Pick<FencingTokens, 'tokenFor'>) {}
 
   /**
-   * Whether the worker may forget an exited attempt.
+   * Whether the next message to the worker may tell it to forget the attempt: nothing is lost by that, and the token
+   * of the message makes the worker refuse all starts of the attempt.
    *
    * @param ref the task of the status
    * @param job the live job of the task; undefined if there is none
    */
   canClear(machine: Machine, status: TaskStatus, ref: TaskRef, job: Job | undefined): boolean {
     const attempt = attemptKey(status.task, status.attempt);
-    const { directStarts } = machine;
-    if (directStarts.isUnacknowledged(attempt)) return false;
-    const isDone = status.exitReason === ExitReason.done;
-    // The worker's status is the only record of a completion until the store has it.
-    if (isDone && job && !(job.isTaskDone(ref.index) && areCompletionsStored(job))) return false;
-    if (!directStarts.isAcknowledged(attempt)) return true;
-    // A completed task that is started again exits at once. This is harmless unless it must not run at all.
-    if (isDone && !this.isRerunForbidden(job, this.ledger.finalState(ref.job))) {
-      directStarts.forget(attempt);
-      return true;
-    }
-    const now = this.deps.clock.steady();
-    const endedAt = directStarts.recordEnded(attempt, now);
-    if (
-      durationBetween(endedAt, now) <
-      this.deps.settings.workers.lease * MAX_DUPLICATE_DELAY_LEASES
-    )
-      return false;
-    directStarts.forget(attempt);
-    return true;
-  }
-
-  /** Whether a completed task of the job would violate a constraint even for the moment until it exits. */
-  private isRerunForbidden(job: Job | undefined, final: FinalState | undefined): boolean {
-    if (this.hasQuota(job?.spec.team ?? final?.team ?? '')) return true;
-    if (!job) return final?.status !== JobStatus.done;
-    return job.isCancelled || job.spec.singleZone || job.spec.spreadZones;
+    return (
+      isForgettable(machine, status, ref, job) &&
+      !machine.directStarts.isExecutableUnder(this.tokens.tokenFor(machine), attempt)
+    );
   }
+}
 
-  private hasQuota(teamName: string): boolean {
-    const team = this.deps.settings.teams.get(teamName);
-    return team !== undefined && (team.maxCpus > 0 || team.maxGpus > 0);
-  }
+/** Whether an attempt has exited and its worker's status is not needed any more. */
+export function isForgettable(
+  machine: Machine,
+  { attempt, state, exitReason }: TaskStatus,
+  { index }: TaskRef,
+  job: Job | undefined,
+): boolean {
+  if (state !== TaskState.exited || !job) return state === TaskState.exited;
+  if (placementOfAttempt(job, index, machine.id, attempt)) return false;
+  // The worker's status is the only record of a completion until the store has it.
+  return exitReason !== ExitReason.done || (job.isTaskDone(index) && areCompletionsStored(job));
 }
 
 /** Whether all completed tasks of a job are recorded in the store. */
--- a/src/leader/direct-command-sender.ts
+++ b/src/leader/direct-command-sender.ts
@@ -11,6 +11,7 @@
   type JobId,
   type MachineId,
 } from '../units/index.js';
+import type { FencingTokens } from './fencing-tokens.js';
 import type { TermDependencies } from './term-dependencies.js';
 import { MachineProber } from './machine-prober.js';
 import type { PlacementIndex } from './placement-index.js';
@@ -51,14 +52,16 @@
   constructor(
     private readonly epoch: Epoch,
     private readonly placements: PlacementIndex,
+    private readonly tokens: Pick<FencingTokens, 'tokenFor'>,
     private readonly observer: StatusObserver,
     private readonly deps: DirectCommandSenderDependencies,
   ) {
-    this.requestSender = new WorkerRequestSender(epoch, placements.fleet, deps, {
+    this.requestSender = new WorkerRequestSender(placements.fleet, deps, {
       onRequestEnded: (machine) => this.scheduleDirectCommands(machine.id),
     });
     this.prober = new MachineProber({
       requestSender: this.requestSender,
+      tokens,
       jobs: this.jobs,
       observer,
       deps,
@@ -97,7 +100,12 @@
       if (!this.requestSender.hasFreeSocket) return;
       this.pendingMachines.delete(machine);
       if (machine.hasCommandInFlight || !this.canSendTo(machine)) continue;
-      const batch = prepareDirectCommands(machine, this.jobs, !this.isControllerBusy);
+      const batch = prepareDirectCommands(
+        machine,
+        this.jobs,
+        this.tokens.tokenFor(machine),
+        !this.isControllerBusy,
+      );
       if (batch.commands.length > 0)
         this.requestSender.startExchange(machine, () => this.sendBatch(machine, batch));
     }
@@ -114,19 +122,17 @@
 
   private async sendBatch(
     machine: Machine,
-    { commands, startedAttempts }: DirectCommands,
+    { fencingToken, commands, startedAttempts }: DirectCommands,
   ): Promise<void> {
     const wasUnconfirmed = machine.isUnconfirmed(this.epoch);
     const timeout = wasUnconfirmed ? UNCONFIRMED_MACHINE_REQUEST_TIMEOUT : WORKER_REQUEST_TIMEOUT;
-    const { outcome, reason, status } = await this.requestSender.sendRequest(
-      machine,
+    const { outcome, reason, status } = await this.requestSender.sendRequest(machine, {
+      fencingToken,
       commands,
       timeout,
-    );
+    });
     if (this.requestSender.isClosed) return;
     if (outcome === 'answered') {
-      // The worker executed or refused the commands: none of them is in flight any more.
-      for (const attempt of startedAttempts) machine.directStarts.recordAcknowledged(attempt);
       if (status && this.requestSender.recordResponse(machine, status))
         this.observer.observe(machine, status, 'commandResponse');
       return;
@@ -137,7 +143,6 @@
     );
     machine.commandsPausedUntil = addDuration(this.deps.clock.steady(), DIRECT_COMMAND_PAUSE);
     if (outcome !== 'undelivered') return;
-    for (const attempt of startedAttempts) machine.directStarts.recordUndelivered(attempt);
     if (wasUnconfirmed && machine.isUnconfirmed(this.epoch))
       this.requeueUnsentTasks(machine, startedAttempts);
   }
--- a/src/leader/direct-commands.ts
+++ b/src/leader/direct-commands.ts
@@ -10,6 +10,7 @@
 
 /** Commands for one machine, sent in one request. */
 export interface DirectCommands {
+  readonly fencingToken: number;
   readonly commands: Command[];
   /** Attempts, as `attemptKey`, whose start command is included. */
   readonly startedAttempts: string[];
@@ -18,14 +19,16 @@
 /**
  * Chooses the commands for a machine, and marks them in the placements as sent directly.
  *
+ * @param fencingToken the token with which they are sent
  * @param canSendStarts whether start commands are included, rather than left to the responses to heartbeats
  */
 export function prepareDirectCommands(
   machine: Machine,
   jobs: ReadonlyMap<JobId, Job>,
+  fencingToken: number,
   canSendStarts: boolean,
 ): DirectCommands {
-  const batch: DirectCommands = { commands: [], startedAttempts: [] };
+  const batch: DirectCommands = { fencingToken, commands: [], startedAttempts: [] };
   const canStartOnMachine = canSendStarts && !machine.isDraining;
   for (const [key, { job: id, index, attempt }] of machine.assignments) {
     if (batch.commands.length >= MAX_COMMANDS_PER_MESSAGE) break;
@@ -55,13 +58,12 @@
 }
 
 function addStart(
-  { commands, startedAttempts }: DirectCommands,
+  { fencingToken, commands, startedAttempts }: DirectCommands,
   machine: Machine,
   key: TaskKey,
   attempt: number,
 ): void {
-  const startedAttempt = attemptKey(key, attempt);
-  machine.directStarts.recordSent(startedAttempt);
-  startedAttempts.push(startedAttempt);
+  machine.directStarts.recordSent({ task: key, attempt, fencingToken });
+  startedAttempts.push(attemptKey(key, attempt));
   commands.push(startCommand(key, attempt));
 }
--- a/src/leader/heartbeat-handler.ts
+++ b/src/leader/heartbeat-handler.ts
@@ -12,6 +12,7 @@
 } from '../units/index.js';
 import type { Command, Heartbeat, WorkerHeartbeatResponse } from '../wire/index.js';
 import type { StatusObserver } from './direct-command-sender.js';
+import type { FencingTokens } from './fencing-tokens.js';
 import type { PlacementIndex } from './placement-index.js';
 import { ResponseDeliveryCheck } from './response-delivery-check.js';
 
@@ -28,6 +29,7 @@
   /** The duration of a worker's lease. */
   readonly lease: DurationMs;
   readonly placements: PlacementIndex;
+  readonly tokens: Pick<FencingTokens, 'tokenFor' | 'recordSent'>;
   readonly observer: StatusObserver;
   readonly responseCommands: ResponseCommandSource;
   /** Called when a machine comes up, so that tasks can be placed on it. */
@@ -37,12 +39,10 @@
 /** Handles heartbeats under one epoch. */
 export class HeartbeatHandler {
   private nextBaseline = 1;
-  private readonly emptyResponse: WorkerHeartbeatResponse;
   private readonly deliveryCheck: ResponseDeliveryCheck;
 
   constructor(private readonly deps: HeartbeatHandlerDependencies) {
     const { epoch, placements, lease } = deps;
-    this.emptyResponse = { fencingToken: epoch, commands: [] };
     this.deliveryCheck = new ResponseDeliveryCheck(epoch, placements.ledger.jobs, lease);
   }
 
@@ -80,6 +80,13 @@
     return this.accept(machine, { ...last, sequence, fencingToken }, relayId);
   }
 
+  /** Records that the response to a machine's heartbeat was sent with a higher fencing token than decided here. */
+  recordFencingTokenSent(id: MachineId, fencingToken: number): void {
+    const { placements, tokens } = this.deps;
+    const machine = placements.fleet.machines.get(id);
+    if (machine) tokens.recordSent(machine, fencingToken);
+  }
+
   private acceptFull(
     heartbeat: Heartbeat,
     status: WorkerStatus,
@@ -87,7 +94,7 @@
   ): WorkerHeartbeatResponse {
     const id = MachineId(heartbeat.machine);
     const { fleet } = this.deps.placements;
-    if (fleet.isGone(id)) return this.emptyResponse;
+    if (fleet.isGone(id)) return { fencingToken: this.deps.epoch, commands: [] };
     const { machineType, zone, spot } = heartbeat;
     const machine = fleet.upsertMachine(id, { machineType, zone, spot }, heartbeat.address);
     return this.accept(machine, status, relayId);
@@ -98,7 +105,7 @@
     status: WorkerStatus,
     relayId: ControllerId | undefined,
   ): WorkerHeartbeatResponse {
-    const { clock, epoch, lease, observer, onMachineUp, responseCommands } = this.deps;
+    const { clock, lease, observer, onMachineUp, responseCommands, tokens } = this.deps;
     const now = clock.steady();
     const wasUp = machine.isUp;
     const last = machine.status;
@@ -106,13 +113,11 @@
     if (isFresh && last) this.deliveryCheck.check(machine, status, last, now);
     // A stale heartbeat also gets a response, with which the worker renews its lease from when it sent the heartbeat.
     machine.extendLease(workerLeaseEnd(now, lease));
-    if (!isFresh) return this.emptyResponse;
+    if (!isFresh) return { fencingToken: tokens.tokenFor(machine), commands: [] };
     machine.relayControllerId = relayId;
     if (!wasUp) onMachineUp();
     observer.observe(machine, status, 'heartbeat');
-    return {
-      fencingToken: epoch,
-      commands: responseCommands.commandsForHeartbeat(machine, status),
-    };
+    const commands = responseCommands.commandsForHeartbeat(machine, status);
+    return { fencingToken: tokens.tokenFor(machine), commands };
   }
 }
--- a/src/leader/placement-state.ts
+++ b/src/leader/placement-state.ts
@@ -1,4 +1,5 @@
 /** Predicates and lookups for the placement of one task. */
+import type { Machine } from '../fleet/machine.js';
 import type { Job, Placement } from '../ledger/job.js';
 import type { MachineId } from '../units/index.js';
 
@@ -30,3 +31,13 @@
 /** Whether the placement is committed to the store. Its start must not be sent before that. */
 export const isCommitted = (job: Job, placement: Placement): boolean =>
   placement.version <= job.committedVersion;
+
+/**
+ * Whether a task that is missing from the machine's status is queued again once its absence is proven. Otherwise the
+ * task is started. An inherited placement is not started: the previous leader may have released the resources of the
+ * placement without writing that to the store, so a start could exceed the quota of the team.
+ */
+export const shouldRequeueIfAbsent = (machine: Machine, job: Job, placement: Placement): boolean =>
+  shouldStopTask(job, placement) ||
+  placement.isInherited ||
+  (machine.isDraining && isCommitted(job, placement));
--- a/src/leader/response-commands.ts
+++ b/src/leader/response-commands.ts
@@ -1,13 +1,14 @@
 /** Chooses the commands that the response to a heartbeat carries. */
 import type { Machine } from '../fleet/machine.js';
 import { attemptKey, type WorkerStatus } from '../fleet/worker-status.js';
-import type { Job, Placement } from '../ledger/job.js';
 import type { Ledger } from '../ledger/ledger.js';
 import { parseTaskKey } from '../units/index.js';
 import { TaskState, type Command, type TaskStatus } from '../wire/index.js';
 import { AttemptClearance } from './attempt-clearance.js';
 import type { TermDependencies } from './term-dependencies.js';
-import { isCommitted, shouldStopTask, placementOfAttempt } from './placement-state.js';
+import type { FencingTokens } from './fencing-tokens.js';
+import { isCommitted, placementOfAttempt, shouldRequeueIfAbsent } from './placement-state.js';
+import { StartFencing } from './start-fencing.js';
 import { clearCommand, killCommand, startCommand } from './task-commands.js';
 
 /** A message with this many commands gets no further start commands, so that it fits in a response to a worker. */
@@ -20,16 +21,23 @@
  */
 export class ResponseCommands {
   private readonly clearance: AttemptClearance;
+  private readonly fencing: StartFencing;
 
   constructor(
-    private readonly ledger: Pick<Ledger, 'jobs' | 'finalState'>,
-    private readonly deps: Pick<TermDependencies, 'clock' | 'log' | 'settings'>,
+    private readonly ledger: Pick<Ledger, 'jobs'>,
+    tokens: FencingTokens,
+    private readonly deps: Pick<TermDependencies, 'clock' | 'log'>,
   ) {
-    this.clearance = new AttemptClearance(ledger, deps);
+    this.clearance = new AttemptClearance(tokens);
+    this.fencing = new StartFencing(ledger.jobs, tokens, deps.clock);
   }
 
-  /** Builds the commands for the worker that sent this status with a heartbeat. */
+  /**
+   * Builds the commands for the worker that sent this status with a heartbeat. The machine's fencing token may be raised
+   * for the response.
+   */
   commandsForHeartbeat(machine: Machine, status: WorkerStatus): Command[] {
+    this.fencing.fence(machine, status);
     const commands: Command[] = [];
     for (const task of status.tasks) {
       const command = this.commandForReportedTask(machine, task);
@@ -56,8 +64,8 @@
     const job = this.ledger.jobs.get(ref.job);
     const placement = placementOfAttempt(job, ref.index, machine.id, attempt);
     if (state === TaskState.exited) {
-      const shouldClear = !placement && this.clearance.canClear(machine, status, ref, job);
-      return shouldClear ? clearCommand(task, attempt) : undefined;
+      const canClear = this.clearance.canClear(machine, status, ref, job);
+      return canClear ? clearCommand(task, attempt) : undefined;
     }
     if (!placement || job?.isCancelled) return killCommand(task, attempt, 0);
     const { evictionGraceSeconds } = placement;
@@ -74,15 +82,7 @@
       const placement = job?.placements.get(assigned.index);
       const attempt = attemptKey(key, assigned.attempt);
       if (!job || !placement || status.byAttempt.has(attempt)) continue;
-      if (shouldStopTask(job, placement)) {
-        // A start command that was sent directly may still be delivered. Once the attempt has been started and stopped
-        // here, that delivery has no effect.
-        if (machine.directStarts.isUnacknowledged(attempt))
-          commands.push(startCommand(key, assigned.attempt), killCommand(key, assigned.attempt, 0));
-      } else if (
-        isStartable(job, placement) &&
-        (!machine.isDraining || machine.directStarts.isUnacknowledged(attempt))
-      ) {
+      if (isCommitted(job, placement) && !shouldRequeueIfAbsent(machine, job, placement)) {
         placement.startSentInResponseTo = { session: status.session, sequence: status.sequence };
         commands.push(startCommand(key, assigned.attempt));
       }
@@ -91,7 +91,3 @@
 }
 
 const attemptOf = ({ task, attempt }: Command): string => attemptKey(task, attempt);
-
-/** A task of an inherited placement isn't started, but requeued once it is proven absent from the machine. */
-const isStartable = (job: Job, placement: Placement): boolean =>
-  !placement.isInherited && isCommitted(job, placement);
--- a/src/leader/status-reconciler.ts
+++ b/src/leader/status-reconciler.ts
@@ -17,7 +17,7 @@
 import type { TermDependencies } from './term-dependencies.js';
 import { FailureBackoff } from './failure-backoff.js';
 import type { PlacementIndex } from './placement-index.js';
-import { isCommitted, shouldStopTask, placementOfAttempt } from './placement-state.js';
+import { placementOfAttempt, shouldRequeueIfAbsent } from './placement-state.js';
 
 /** Updates placements, orphaned tasks and idle times from the statuses of machines. */
 export class StatusReconciler implements StatusObserver {
@@ -107,7 +107,7 @@
       source,
       attempt,
       start: placement,
-      unacknowledgedStarts: machine.directStarts.unacknowledged,
+      directStarts: machine.directStarts,
       epoch: this.epoch,
     };
     if (isProvenAbsent(evidence))
@@ -132,13 +132,3 @@
     );
   }
 }
-
-/**
- * Whether a task that is missing from the machine's status is queued again once its absence is proven. Otherwise the
- * task is started. An inherited placement is not started: the previous leader may have released the resources of the
- * placement without writing that to the store, so a start could exceed the quota of the team.
- */
-const shouldRequeueIfAbsent = (machine: Machine, job: Job, placement: Placement): boolean =>
-  shouldStopTask(job, placement) ||
-  placement.isInherited ||
-  (machine.isDraining && isCommitted(job, placement));
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -11,11 +11,18 @@
 import { Ledger } from '../ledger/ledger.js';
 import type { UnchangedHeartbeat } from '../peer/messages.js';
 import { runInBackground } from '../units/run-in-background.js';
-import type { Epoch, JobId, ControllerId, SteadyMs } from '../units/index.js';
+import {
+  MachineId,
+  type Epoch,
+  type JobId,
+  type ControllerId,
+  type SteadyMs,
+} from '../units/index.js';
 import type { Heartbeat, WorkerHeartbeatResponse, JobSpec } from '../wire/index.js';
 import { DirectCommandSender } from './direct-command-sender.js';
 import { ContactHistory } from './contact-history.js';
 import type { TermDependencies } from './term-dependencies.js';
+import { FencingTokens } from './fencing-tokens.js';
 import { GangManager } from './gang-manager.js';
 import { HeartbeatHandler } from './heartbeat-handler.js';
 import { JobRequests, type JobLookupResult, type SubmitOutcome } from './job-requests.js';
@@ -31,6 +38,7 @@
 /** Leads under one epoch. `start` is called once; `close` ends all work of the term. */
 export class Term {
   private readonly ledger: Ledger;
+  private readonly fencingTokens: FencingTokens;
   private readonly fleet: Fleet;
   private readonly placements: PlacementIndex;
   private readonly commands: DirectCommandSender;
@@ -54,28 +62,38 @@
     const startedAt = clock.steady();
     this.jobRecovery = new JobRecovery(deps, (job) => this.jobRequests.addStoredJob(job));
     this.ledger = this.createLedger();
+    this.fencingTokens = new FencingTokens(epoch, this.ledger);
     this.fleet = this.createFleet(startedAt);
     this.placements = this.createPlacementIndex();
     const observer = new StatusReconciler(epoch, this.placements, deps);
-    this.commands = new DirectCommandSender(epoch, this.placements, observer, deps);
+    this.commands = new DirectCommandSender(
+      epoch,
+      this.placements,
+      this.fencingTokens,
+      observer,
+      deps,
+    );
     this.gangs = new GangManager(this.placements, this.commands, clock);
     this.heartbeatHandler = this.createHeartbeatHandler(observer);
     this.scheduler = new Scheduler(epoch, this.placements, this.commands, deps);
     this.contactHistory = new ContactHistory(deps.peers, startedAt);
     this.machineLossHandler = new MachineLossHandler(this.fleet, this.placements, clock, log);
     this.autoscaler = this.createAutoscaler();
-    const { ledger, fleet, placements, commands, gangs, scheduler } = this;
+    this.jobRequests = this.createJobRequests();
+    this.inboxWatcher = new InboxWatcher(jobRecords, this.jobRequests, this.ledger, clock);
+    this.periodicWork = this.createPeriodicWork(startedAt);
+  }
+
+  private createJobRequests(): JobRequests {
+    const { ledger, placements, commands, scheduler } = this;
+    const { clock, jobRecords } = this.deps;
+    return new JobRequests({ ledger, placements, commands, scheduler, jobRecords, clock });
+  }
+
+  private createPeriodicWork(startedAt: SteadyMs): PeriodicWork {
+    const { epoch, deps, ledger, fleet, commands, gangs, scheduler } = this;
     const { autoscaler, contactHistory, machineLossHandler } = this;
-    this.jobRequests = new JobRequests({
-      ledger,
-      placements,
-      commands,
-      scheduler,
-      jobRecords,
-      clock,
-    });
-    this.inboxWatcher = new InboxWatcher(jobRecords, this.jobRequests, ledger, clock);
-    this.periodicWork = new PeriodicWork(
+    return new PeriodicWork(
       {
         epoch,
         deps,
@@ -149,8 +167,9 @@
       clock,
       lease: settings.workers.lease,
       placements: this.placements,
+      tokens: this.fencingTokens,
       observer,
-      responseCommands: new ResponseCommands(this.ledger, this.deps),
+      responseCommands: new ResponseCommands(this.ledger, this.fencingTokens, this.deps),
       onMachineUp: () => this.scheduler.schedulePlacement(),
     });
   }
@@ -266,6 +285,16 @@
     return this.heartbeatHandler.handleRelayed(heartbeat, relayId);
   }
 
+  /** The highest fencing token that this term may have sent to a worker. */
+  get highestFencingToken(): number {
+    return this.fencingTokens.highest;
+  }
+
+  /** Records that the response to a machine's heartbeat carries this fencing token. */
+  recordFencingTokenSent(machine: string, fencingToken: number): void {
+    this.heartbeatHandler.recordFencingTokenSent(MachineId(machine), fencingToken);
+  }
+
   /** Returns the response to a heartbeat with the same tasks as its baseline; undefined if it must be sent in full. */
   handleUnchangedHeartbeat(
     heartbeat: UnchangedHeartbeat,
--- a/src/leader/worker-request-sender.ts
+++ b/src/leader/worker-request-sender.ts
@@ -1,4 +1,4 @@
-/** Sends requests to workers under the leader's epoch: limits their number, picks the route, records the responses. */
+/** Sends requests to workers: limits their number, picks the route, records the responses. */
 import type { Fleet } from '../fleet/fleet.js';
 import type { Machine } from '../fleet/machine.js';
 import { workerLeaseEnd } from '../fleet/worker-lease.js';
@@ -6,7 +6,7 @@
 import type { CommandOutcome } from '../peer/messages.js';
 import { sendCommandsToWorker, sendCommandsViaPeer } from '../relay/worker-commands.js';
 import { runInBackground } from '../units/run-in-background.js';
-import { ms, type DurationMs, type Epoch } from '../units/index.js';
+import { ms, type DurationMs } from '../units/index.js';
 import type { Command } from '../wire/index.js';
 import type { TermDependencies } from './term-dependencies.js';
 
@@ -31,6 +31,13 @@
   onRequestEnded(machine: Machine): void;
 }
 
+/** A request to a worker. */
+export interface WorkerRequest {
+  readonly fencingToken: number;
+  readonly commands: readonly Command[];
+  readonly timeout: DurationMs;
+}
+
 /** The result of a request. */
 export interface WorkerRequestResult {
   readonly outcome: CommandOutcome;
@@ -46,7 +53,6 @@
   private hasClosed = false;
 
   constructor(
-    private readonly epoch: Epoch,
     private readonly fleet: Fleet,
     private readonly deps: WorkerRequestDependencies,
     private readonly listener: WorkerRequestListener,
@@ -93,15 +99,14 @@
   /** Sends commands directly, or through the controller that relays the machine's heartbeats. */
   async sendRequest(
     machine: Machine,
-    commands: readonly Command[],
-    timeout: DurationMs,
+    { fencingToken, commands, timeout }: WorkerRequest,
   ): Promise<WorkerRequestResult> {
     if (!machine.address || !machine.status)
       return { outcome: 'undelivered', reason: 'no address', status: undefined };
     const request = {
       type: 'sendCommands' as const,
       address: machine.address,
-      fencingToken: this.epoch,
+      fencingToken,
       session: machine.status.session,
       timeoutMs: timeout,
       commands,
--- a/src/ledger/ledger.ts
+++ b/src/ledger/ledger.ts
@@ -10,6 +10,7 @@
   type Epoch,
   type JobId,
   type Random,
+  type Revision,
 } from '../units/index.js';
 import { BatchAssembler } from './batch-assembler.js';
 import { CommitLoop } from './commit-loop.js';
@@ -67,7 +68,7 @@
       log,
     });
     const resolver = new OutcomeResolver({ store, epoch, outcomeHandler, clock, log });
-    const context = { store, limits, queue, waiters, lock, backoff, clock, log };
+    const context = { store, epoch, limits, queue, waiters, lock, backoff, clock, log };
     this.writer = new TransactionWriter({ ...context, outcomeHandler, resolver, events });
     const assembler = new BatchAssembler({ store, epoch, limits, queue, clock });
     this.loop = new CommitLoop({ assembler, writer: this.writer, lock, backoff, clock, log });
@@ -83,6 +84,14 @@
     this.waiters.close();
   }
 
+  /**
+   * The revision of the latest transaction that the store confirmed under this epoch; the epoch before the first one.
+   * At that revision the leader key was still that of this epoch.
+   */
+  get lastCommittedRevision(): Revision {
+    return this.writer.lastCommittedRevision;
+  }
+
   /** The final state of a recently finished job; undefined if it is not in memory. */
   finalState(id: JobId): FinalState | undefined {
     return this.table.finalStates.get(id);
--- a/src/ledger/transaction-writer.ts
+++ b/src/ledger/transaction-writer.ts
@@ -4,7 +4,7 @@
 import type { Backoff } from '../store/backoff.js';
 import type { StoreClient } from '../store/client.js';
 import type { CommitResult } from '../store/results.js';
-import { addDuration, ms, type Clock, type Revision } from '../units/index.js';
+import { addDuration, ms, Revision, type Clock, type Epoch } from '../units/index.js';
 import type { Batch, PendingRecord } from './batch.js';
 import type { CommitQueue } from './commit-queue.js';
 import type { CommitWaiters } from './commit-waiters.js';
@@ -21,6 +21,7 @@
 /** The dependencies of a writer. */
 export interface TransactionWriterOptions {
   readonly store: Pick<StoreClient, 'transact'>;
+  readonly epoch: Epoch;
   readonly limits: RecordLimits;
   readonly queue: CommitQueue;
   readonly waiters: CommitWaiters;
@@ -38,8 +39,16 @@
 /** Writes transactions until `close`. The outcome of a transaction that is in flight at that time is ignored. */
 export class TransactionWriter {
   private isClosed = false;
+  private committedRevision: Revision;
 
-  constructor(private readonly options: TransactionWriterOptions) {}
+  constructor(private readonly options: TransactionWriterOptions) {
+    this.committedRevision = Revision(options.epoch);
+  }
+
+  /** The highest revision of a transaction that the store confirmed; the epoch before the first one. */
+  get lastCommittedRevision(): Revision {
+    return this.committedRevision;
+  }
 
   close(): void {
     this.isClosed = true;
@@ -61,6 +70,7 @@
       case 'committed': {
         backoff.recordSuccess();
         const { revision } = result;
+        this.committedRevision = Revision(Math.max(this.committedRevision, revision));
         await lock.runExclusive(() => this.onCommitted(batch, revision));
         return;
       }
--- a/src/peer/codec.ts
+++ b/src/peer/codec.ts
@@ -1,6 +1,7 @@
 /** Encodes messages between controllers as bytes: an envelope around an Avro record. */
 import type { Command, Heartbeat } from '../wire/index.js';
 import type {
+  FencedHeartbeatResponse,
   HeartbeatResponse,
   HeartbeatResponses,
   PeerRequest,
@@ -44,8 +45,11 @@
   readonly heartbeats: readonly RelayedRecord[];
 };
 
-type HeartbeatResponsesRecord = Omit<HeartbeatResponses, 'type' | 'responses'> & {
-  readonly responses: readonly WithCommandRecords<HeartbeatResponse>[];
+type HeartbeatResponsesRecord<Response extends HeartbeatResponse> = Omit<
+  HeartbeatResponses,
+  'type' | 'responses'
+> & {
+  readonly responses: readonly WithCommandRecords<Response>[];
 };
 
 /** Drops the grace period from all commands except `kill`, the only one that has it. */
@@ -65,33 +69,52 @@
 
 const toHeartbeatResponse = (
   response: WithCommandRecords<HeartbeatResponse>,
-): HeartbeatResponses['responses'][number] => ({
+): HeartbeatResponse => ({
   ...response,
   commands: response.commands.map(toCommand),
 });
 
+const toFencedHeartbeatResponse = (
+  response: WithCommandRecords<FencedHeartbeatResponse>,
+): FencedHeartbeatResponse => ({
+  ...toHeartbeatResponse(response),
+  fencingToken: response.fencingToken,
+});
+
 function encodeMessage(id: number, message: PeerRequest | PeerResponse): Buffer {
   const value =
     message.type === 'workerHeartbeats'
       ? { ...message, heartbeats: message.heartbeats.map(toRelayedRecord) }
       : message;
   const payload = payloadTypeOf(message.type).toBuffer(value);
-  return EnvelopeType.toBuffer({ id, type: message.type, payload });
+  return EnvelopeType.toBuffer({ id: envelopeId(id, message), type: message.type, payload });
 }
 
-function toMessage(type: MessageType, value: object): PeerRequest | PeerResponse {
+/**
+ * The id in the envelope. A negative one tells the peer that the sender reads `FencedHeartbeatResponses`: no message of
+ * the version before has a field for that, but it returns any id unchanged.
+ */
+const envelopeId = (id: number, message: PeerRequest | PeerResponse): number =>
+  message.type === 'workerHeartbeats' && message.readsFencingTokens ? -id : id;
+
+function toMessage(id: number, type: MessageType, value: object): PeerRequest | PeerResponse {
   switch (type) {
     case 'sendCommands': {
       const request = value as WithCommandRecords<SendCommandsRequest>;
       return { ...request, type, commands: request.commands.map(toCommand) };
     }
     case 'heartbeatResponses': {
-      const { epoch, responses } = value as HeartbeatResponsesRecord;
+      const { epoch, responses } = value as HeartbeatResponsesRecord<HeartbeatResponse>;
       return { type, epoch, responses: responses.map(toHeartbeatResponse) };
     }
+    case 'fencedHeartbeatResponses': {
+      const { epoch, responses } = value as HeartbeatResponsesRecord<FencedHeartbeatResponse>;
+      return { type, epoch, responses: responses.map(toFencedHeartbeatResponse) };
+    }
     case 'workerHeartbeats': {
       const { node, epoch, heartbeats } = value as WorkerHeartbeatsRecord;
-      return { type, node, epoch, heartbeats: heartbeats.map(toRelayedHeartbeat) };
+      const request = { type, node, epoch, heartbeats: heartbeats.map(toRelayedHeartbeat) };
+      return id < 0 ? { ...request, readsFencingTokens: true } : request;
     }
     default:
       return { type, ...value } as PeerRequest | PeerResponse;
@@ -104,7 +127,7 @@
     type: MessageType;
     payload: Buffer;
   };
-  return { id, message: toMessage(type, payloadTypeOf(type).fromBuffer(payload) as object) };
+  return { id, message: toMessage(id, type, payloadTypeOf(type).fromBuffer(payload) as object) };
 }
 
 const RESPONSE_TYPES: ReadonlySet<string> = new Set<PeerResponse['type']>([
@@ -112,6 +135,7 @@
   'acknowledged',
   'userResponse',
   'heartbeatResponses',
+  'fencedHeartbeatResponses',
   'commandResult',
 ]);
 
@@ -126,7 +150,7 @@
 export const encodeResponse = (id: number, response: PeerResponse): Buffer =>
   encodeMessage(id, response);
 
-/** Decodes a request; throws on anything that is not a request of this version. */
+/** Decodes a request, with the id for its response; throws on anything that is not a request of this version. */
 export function decodeRequest(bytes: Buffer): Envelope<PeerRequest> {
   const { id, message } = decodeMessage(bytes);
   if (isResponse(message))
@@ -139,5 +163,5 @@
   const { id, message } = decodeMessage(bytes);
   if (!isResponse(message))
     throw new MessageError(`expected a response from the peer, got ${message.type}`);
-  return { id, message };
+  return { id: Math.abs(id), message };
 }
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -63,6 +63,8 @@
   /** The epoch in which the baselines were assigned. */
   readonly epoch: number;
   readonly heartbeats: readonly RelayedHeartbeat[];
+  /** Whether the sender reads `FencedHeartbeatResponses`; a sender of an earlier version does not. */
+  readonly readsFencingTokens?: true;
 }
 
 /** Has a follower send commands to a worker whose heartbeats it relays. */
@@ -106,10 +108,24 @@
 /** The responses to a batch of heartbeats, in the order of the batch. */
 export interface HeartbeatResponses {
   readonly type: 'heartbeatResponses';
+  /** The epoch in which the baselines were assigned, and the fencing token of all responses. */
   readonly epoch: number;
   readonly responses: readonly HeartbeatResponse[];
 }
 
+/** The leader's response to one relayed heartbeat, with a fencing token of its own. */
+export interface FencedHeartbeatResponse extends HeartbeatResponse {
+  readonly fencingToken: number;
+}
+
+/** The same as `HeartbeatResponses`, but the fencing token of each response may differ. */
+export interface FencedHeartbeatResponses {
+  readonly type: 'fencedHeartbeatResponses';
+  /** The epoch in which the baselines were assigned. */
+  readonly epoch: number;
+  readonly responses: readonly FencedHeartbeatResponse[];
+}
+
 /** The response to a user's request, which the controller that received the request returns to the user. */
 export interface UserResponse {
   readonly type: 'userResponse';
@@ -126,4 +142,5 @@
   | { readonly type: 'acknowledged'; readonly ok: boolean }
   | UserResponse
   | HeartbeatResponses
+  | FencedHeartbeatResponses
   | CommandResult;
--- a/src/peer/schemas.ts
+++ b/src/peer/schemas.ts
@@ -65,7 +65,7 @@
   ),
 ]);
 
-const heartbeatResponseSchema = record('HeartbeatResponse', [
+const heartbeatResponseFields = [
   field('outcome', {
     type: 'enum',
     name: 'HeartbeatOutcome',
@@ -73,6 +73,11 @@
   }),
   field('baseline', 'long'),
   field('commands', commandsSchema),
+];
+const heartbeatResponseSchema = record('HeartbeatResponse', heartbeatResponseFields);
+const fencedHeartbeatResponseSchema = record('FencedHeartbeatResponse', [
+  ...heartbeatResponseFields,
+  field('fencingToken', 'long'),
 ]);
 
 const machineImagesSchema = record('MachineImages', [
@@ -120,6 +125,10 @@
     field('reason', 'string'),
     optionalField('heartbeat', heartbeatSchema),
   ]),
+  fencedHeartbeatResponses: record('FencedHeartbeatResponses', [
+    field('epoch', 'long'),
+    field('responses', arrayOf(fencedHeartbeatResponseSchema)),
+  ]),
 } satisfies Record<PeerRequest['type'] | PeerResponse['type'], avro.Schema>;
 
 /** The type of any message, request or response. */
--- a/src/relay/heartbeat-relay.ts
+++ b/src/relay/heartbeat-relay.ts
@@ -4,7 +4,11 @@
  */
 import type { Logger } from 'pino';
 import type { Peer } from '../peer/peer.js';
-import type { HeartbeatResponse } from '../peer/messages.js';
+import type {
+  FencedHeartbeatResponse,
+  FencedHeartbeatResponses,
+  PeerResponse,
+} from '../peer/messages.js';
 import { runInBackground } from '../units/run-in-background.js';
 import {
   addDuration,
@@ -155,27 +159,24 @@
     );
     const sentAt = clock.steady();
     const response = await peer.sendRequest(
-      { type: 'workerHeartbeats', node: controllerId, epoch, heartbeats },
+      { type: 'workerHeartbeats', node: controllerId, epoch, heartbeats, readsFencingTokens: true },
       BATCH_TIMEOUT,
     );
     this.batchSize = nextBatchSize(this.batchSize, durationBetween(sentAt, clock.steady()));
-    if (response?.type !== 'heartbeatResponses' || response.responses.length !== batch.length) {
+    const fenced = toFencedResponses(response);
+    if (fenced?.responses.length !== batch.length) {
       for (const pending of batch) pending.resolve(undefined);
       return;
     }
-    this.baselines.switchToEpoch(response.epoch);
+    this.baselines.switchToEpoch(fenced.epoch);
     for (const [i, pending] of batch.entries()) {
-      const heartbeatResponse = response.responses[i];
-      if (heartbeatResponse) this.handleResponse(pending, heartbeatResponse, response.epoch);
+      const heartbeatResponse = fenced.responses[i];
+      if (heartbeatResponse) this.handleResponse(pending, heartbeatResponse);
     }
   }
 
-  private handleResponse(
-    pending: PendingHeartbeat,
-    response: HeartbeatResponse,
-    epoch: number,
-  ): void {
-    const { outcome, baseline, commands } = response;
+  private handleResponse(pending: PendingHeartbeat, response: FencedHeartbeatResponse): void {
+    const { outcome, baseline, commands, fencingToken } = response;
     const now = this.options.clock.steady();
     if (outcome === 'baselineUnknown' && !pending.shouldSendFull) {
       this.pending.push({ ...pending, shouldSendFull: true });
@@ -183,9 +184,25 @@
       this.pending.push(pending);
     } else if (outcome === 'accepted') {
       this.baselines.recordAccepted(pending.heartbeat, baseline, now);
-      pending.resolve({ fencingToken: epoch, commands });
+      pending.resolve({ fencingToken, commands });
     } else {
       pending.resolve(undefined);
     }
   }
 }
+
+/** The responses with the fencing token of each; undefined if it is not a response to a batch of heartbeats. */
+function toFencedResponses(
+  response: PeerResponse | undefined,
+): Pick<FencedHeartbeatResponses, 'epoch' | 'responses'> | undefined {
+  switch (response?.type) {
+    case 'fencedHeartbeatResponses':
+      return response;
+    case 'heartbeatResponses': {
+      const { epoch, responses } = response;
+      return { epoch, responses: responses.map((each) => ({ ...each, fencingToken: epoch })) };
+    }
+    default:
+      return undefined;
+  }
+}
--- a/test/standin/worker-tasks.ts
+++ b/test/standin/worker-tasks.ts
@@ -80,6 +80,11 @@
       .map(({ task }) => task);
   }
 
+  /** The names of the tasks with an attempt that it reports. */
+  reportedTaskNames(): string[] {
+    return [...this.attempts.values()].map(({ task }) => task);
+  }
+
   /** The processors that its tasks don't use. */
   freeCpus(): number {
     return this.host.cpus - this.usedCpus(0);
@@ -225,6 +230,15 @@
     else this.exit(attempt, 'halted');
   }
 
+  /** Ends a running task by itself: it completes or fails. */
+  endTask(task: string, cause: 'done' | 'error'): void {
+    for (const attempt of this.attempts.values()) {
+      if (attempt.task !== task || attempt.state !== 'running') continue;
+      if (cause === 'done') this.host.environment.onTaskCompleted(task);
+      this.exit(attempt, cause);
+    }
+  }
+
   private exit(attempt: TaskAttempt, cause: string, hasSavedCheckpoint = false): void {
     this.release(attempt);
     attempt.state = 'exited';
--- a/test/standin/worker.ts
+++ b/test/standin/worker.ts
@@ -81,6 +81,16 @@
     return this.tasks.freeCpus();
   }
 
+  /** The names of the tasks of which it reports an attempt, whether that runs or has exited. */
+  reportedTaskNames(): string[] {
+    return this.tasks.reportedTaskNames();
+  }
+
+  /** Ends a running task as if by itself. */
+  endTask(task: string, cause: 'done' | 'error'): void {
+    this.tasks.endTask(task, cause);
+  }
+
   /** Ends the worker permanently, together with its machine. */
   kill(): void {
     this.isDead = true;
--- a/test/support/leader-request-handlers.ts
+++ b/test/support/leader-request-handlers.ts
@@ -38,6 +38,7 @@
     new Promise((resolve) => (resolveLookup = () => resolve(lookupResult)));
   const term = {
     epoch,
+    highestFencingToken: EPOCH,
     isClosed: false,
     isReady: true,
     isRedirectingWorkers: false,
@@ -49,6 +50,7 @@
       response: { fencingToken: EPOCH, commands: [] },
       baseline: 1,
     }),
+    recordFencingTokenSent: () => undefined,
   };
   const peers = new Map<ControllerId, Peer>();
   const catalog = new MachineCatalog();
--- a/test/unit/direct-command-sender.test.ts
+++ b/test/unit/direct-command-sender.test.ts
@@ -17,8 +17,9 @@
   type DirectCommandSenderDependencies,
 } from '../../src/leader/direct-command-sender.js';
 import { prepareDirectCommands } from '../../src/leader/direct-commands.js';
+import { FencingTokens } from '../../src/leader/fencing-tokens.js';
 import { ResponseCommands } from '../../src/leader/response-commands.js';
-import { Epoch, MachineId, SteadyMs, seconds } from '../../src/units/index.js';
+import { Epoch, MachineId, Revision, SteadyMs, seconds } from '../../src/units/index.js';
 import { encodeHeartbeat, type Priority } from '../../src/wire/index.js';
 import { emptyFleet, createPlacedTask, type PlacedTask } from '../support/fleet.js';
 import { settingsFile } from '../support/settings-file.js';
@@ -96,6 +97,7 @@
     const sender = new DirectCommandSender(
       epoch,
       placements as unknown as PlacementIndex,
+      { tokenFor: () => epoch },
       { observe: () => undefined },
       deps as unknown as DirectCommandSenderDependencies,
     );
@@ -114,23 +116,33 @@
 });
 
 void test('an attempt that must stop is not started', () => {
-  const cases: [name: string, isEvicted: boolean, mayStillArrive: boolean, types: string[]][] = [
-    ['an attempt that should run', false, false, ['launch']],
-    ['evicted before its start was sent', true, false, []],
-    ['evicted while its direct start may still be delivered', true, true, ['launch', 'kill']],
+  type Case = [
+    name: string,
+    isEvicted: boolean,
+    mayStillArrive: boolean,
+    types: string[],
+    isFenced: boolean,
+  ];
+  const cases: Case[] = [
+    ['an attempt that should run', false, false, ['launch'], false],
+    ['an attempt that should run, whose direct start may arrive', false, true, ['launch'], false],
+    ['evicted before its start was sent', true, false, [], false],
+    ['evicted while its direct start may still be delivered', true, true, [], true],
   ];
   const settings = parseSettings(settingsFile());
-  for (const [name, isEvicted, mayStillArrive, types] of cases) {
+  for (const [name, isEvicted, mayStillArrive, types, isFenced] of cases) {
     const clock = new ProcessClock(new VirtualTime(), 0, 0);
     const fleet = emptyFleet(settings.workers.lease);
     const machine = observeMachine(fleet);
     const { job, placement, key } = createPlacedTask(fleet, machineId, clock.steady());
     if (isEvicted) placement.evictionGraceSeconds = 0;
-    if (mayStillArrive) machine.directStarts.recordSent(attemptKey(key, placement.attempt));
-    const ledger = { jobs: new Map([[job.id, job]]), finalState: () => undefined };
-    const responseCommands = new ResponseCommands(ledger, {
+    const { attempt } = placement;
+    if (mayStillArrive)
+      machine.directStarts.recordSent({ task: key, attempt, fencingToken: epoch });
+    const ledger = { jobs: new Map([[job.id, job]]) };
+    const tokens = new FencingTokens(epoch, { lastCommittedRevision: Revision(epoch + 1) });
+    const responseCommands = new ResponseCommands(ledger, tokens, {
       clock,
-      settings,
       log: pino({ level: 'silent' }),
     });
     const commands = responseCommands.commandsForHeartbeat(machine, toWorkerStatus(heartbeat));
@@ -139,6 +151,7 @@
       types,
       name,
     );
+    assert.equal(tokens.tokenFor(machine), isFenced ? epoch + 1 : epoch, name);
   }
 });
 
@@ -192,7 +205,12 @@
     const task = createPlacedTask(fleet, machineId, SteadyMs(0));
     change(task, machine);
     const jobs = new Map([[task.job.id, task.job]]);
-    const { commands, startedAttempts: started } = prepareDirectCommands(machine, jobs, mayStart);
+    const { commands, startedAttempts: started } = prepareDirectCommands(
+      machine,
+      jobs,
+      epoch,
+      mayStart,
+    );
     const commandNames = commands.map((command) =>
       command.type === 'kill' ? `kill ${command.gracePeriodSeconds}` : command.type,
     );
@@ -200,9 +218,9 @@
     const attempt = attemptKey(task.key, task.placement.attempt);
     const isStart = expected.includes('launch');
     assert.deepEqual(started, isStart ? [attempt] : [], name);
-    assert.equal(machine.directStarts.isUnacknowledged(attempt), isStart, name);
+    assert.equal(machine.directStarts.isExecutableUnder(epoch, attempt), isStart, name);
     assert.deepEqual(
-      prepareDirectCommands(machine, jobs, mayStart).commands,
+      prepareDirectCommands(machine, jobs, epoch, mayStart).commands,
       [],
       `${name}: sent once`,
     );
--- a/test/unit/fleet.test.ts
+++ b/test/unit/fleet.test.ts
@@ -7,6 +7,7 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { isProvenAbsent, type StartRecord } from '../../src/fleet/attempt-absence.js';
+import { DirectStarts, type DirectStart } from '../../src/fleet/direct-starts.js';
 import { ImageCache } from '../../src/fleet/image-cache.js';
 import { computeLoad } from '../../src/fleet/machine-load.js';
 import { Machine } from '../../src/fleet/machine.js';
@@ -30,6 +31,11 @@
     tasks: [],
     ...change,
   });
+const directStart = (attempt: number, fencingToken: number): DirectStart => ({
+  task: taskKey(JobId('run-000001'), 0),
+  attempt,
+  fencingToken,
+});
 const createMachine = (): Machine =>
   new Machine(MachineId('vm-1'), { machineType: 'a', zone: 'z', spot: true }, 10, SteadyMs(0));
 
@@ -54,9 +60,9 @@
 void test('when a lease expires, direct starts and late statuses of its session are dropped', () => {
   const machine = createMachine();
   machine.recordStatus(statusWith({ session: 3, sequence: 5 }), SteadyMs(1));
-  machine.directStarts.recordSent('run-000001/0#1');
+  machine.directStarts.recordSent(directStart(1, 50));
   machine.expireLease();
-  assert.equal(machine.directStarts.unacknowledged.size, 0);
+  assert.equal(machine.directStarts.size, 0);
   // This status was delayed: the worker has dropped these tasks since.
   const late = statusWith({ session: 3, sequence: 6 });
   assert.equal(machine.recordStatus(late, SteadyMs(9)), false);
@@ -78,13 +84,13 @@
 
 void test('an attempt is proven absent only if none of its starts can still be delivered', () => {
   const task = { task: key, attempt: 2, state: 'running' };
-  const noStarts: readonly string[] = [];
+  const noStarts: readonly DirectStart[] = [];
   type Case = [
     name: string,
     change: Parameters<typeof statusWith>[0],
     source: StatusSource,
     start: StartRecord,
-    unacknowledged: readonly string[],
+    directStarts: readonly DirectStart[],
     isProven: boolean,
   ];
   const unsent = { isInherited: false };
@@ -129,13 +135,45 @@
       noStarts,
       true,
     ],
-    ['its direct start may still be delivered', {}, heartbeat, unsent, [`${key}#2`], false],
+    ['its direct start may be delivered', {}, heartbeat, unsent, [directStart(2, 50)], false],
+    [
+      'its direct start may be delivered after newer messages',
+      { fencingToken: 51 },
+      heartbeat,
+      unsent,
+      [directStart(2, 51)],
+      false,
+    ],
+    [
+      'the worker has seen a higher token than that of its direct start',
+      { fencingToken: 51 },
+      heartbeat,
+      unsent,
+      [directStart(2, 50)],
+      true,
+    ],
     [
-      'a direct start of another attempt may still be delivered',
+      'the worker says so in a response to direct commands',
+      { fencingToken: 51 },
+      'commandResponse',
+      unsent,
+      [directStart(2, 50)],
+      true,
+    ],
+    [
+      'a direct start of another attempt may be delivered',
       {},
       heartbeat,
       unsent,
-      [`${key}#1`],
+      [directStart(1, 50)],
+      true,
+    ],
+    [
+      'its direct start is a repeat, since the status lists it as exited',
+      { tasks: [{ ...task, state: 'exited' }] },
+      heartbeat,
+      unsent,
+      [directStart(2, 50)],
       true,
     ],
     // The worker refuses the commands of an earlier leader only once it has seen the current epoch.
@@ -149,19 +187,40 @@
     ],
     ['inherited, and the worker has seen the epoch', {}, heartbeat, inherited, noStarts, true],
   ];
-  for (const [name, change, source, start, unacknowledged, isProven] of cases) {
+  for (const [name, change, source, start, starts, isProven] of cases) {
+    const directStarts = new DirectStarts();
+    for (const each of starts) directStarts.recordSent(each);
     const evidence = {
       status: statusWith(change),
       source,
       attempt: attemptKey(key, 2),
       start,
-      unacknowledgedStarts: new Set(unacknowledged),
+      directStarts,
       epoch,
     };
     assert.equal(isProvenAbsent(evidence), isProven, name);
   }
 });
 
+void test('a worker that has restarted may execute starts that were fenced before', () => {
+  const machine = createMachine();
+  machine.recordStatus(statusWith({ sequence: 5 }), SteadyMs(1));
+  machine.directStarts.recordSent(directStart(2, 50));
+  machine.recordStatus(statusWith({ sequence: 6, fencingToken: 51 }), SteadyMs(2));
+  const isProven = (fencingToken: number): boolean =>
+    isProvenAbsent({
+      status: statusWith({ sequence: 7, fencingToken }),
+      source: 'heartbeat',
+      attempt: attemptKey(key, 2),
+      start: { isInherited: false },
+      directStarts: machine.directStarts,
+      epoch,
+    });
+  assert.equal(isProven(51), true);
+  assert.equal(isProven(0), false, 'it has restarted and has seen no token');
+  assert.equal(isProven(50), false);
+});
+
 void test('the load that is updated incrementally equals the load computed from scratch', () => {
   const sizes = [1, 2, 4].map((cpus) => ({ cpus, gpus: 0, memoryGb: cpus }));
   const resourcesOf = (job: JobId) => sizes[Number(job.slice(-1))];
--- a/test/unit/heartbeat-relay.test.ts
+++ b/test/unit/heartbeat-relay.test.ts
@@ -12,6 +12,7 @@
 import type { Fleet } from '../../src/fleet/fleet.js';
 import { toWorkerStatus } from '../../src/fleet/worker-status.js';
 import type { PlacementIndex } from '../../src/leader/placement-index.js';
+import { FencingTokens } from '../../src/leader/fencing-tokens.js';
 import { HeartbeatHandler } from '../../src/leader/heartbeat-handler.js';
 import { StatusReconciler } from '../../src/leader/status-reconciler.js';
 import type { Peer } from '../../src/peer/peer.js';
@@ -22,6 +23,7 @@
   encodeResponse,
 } from '../../src/peer/codec.js';
 import type {
+  FencedHeartbeatResponse,
   HeartbeatResponse,
   PeerRequest,
   PeerResponse,
@@ -30,7 +32,7 @@
 import { isUnchanged } from '../../src/relay/baselines.js';
 import { nextBatchSize } from '../../src/relay/heartbeat-batch.js';
 import { HeartbeatRelay } from '../../src/relay/heartbeat-relay.js';
-import { Epoch, MachineId, ControllerId, ms } from '../../src/units/index.js';
+import { Epoch, MachineId, ControllerId, Revision, ms } from '../../src/units/index.js';
 import type { Heartbeat, WorkerHeartbeatResponse, TaskStatus } from '../../src/wire/index.js';
 import { ProcessClock, VirtualTime } from '../standin/clock.js';
 import { emptyFleet } from '../support/fleet.js';
@@ -73,6 +75,7 @@
       clock,
       lease: settings.workers.lease,
       placements,
+      tokens: new FencingTokens(epoch, { lastCommittedRevision: Revision(epoch) }),
       observer: new StatusReconciler(epoch, placements, { clock, log: pino({ level: 'silent' }) }),
       responseCommands: { commandsForHeartbeat: () => [] },
       onMachineUp: () => undefined,
@@ -158,16 +161,17 @@
 
   private deliver({ request, fullHeartbeats }: Message): PeerResponse {
     assert.ok(request.type === 'workerHeartbeats');
-    const responses = request.heartbeats.map((relayed, i): HeartbeatResponse => {
+    assert.equal(request.readsFencingTokens, true);
+    const responses = request.heartbeats.map((relayed, i): FencedHeartbeatResponse => {
       const response = this.handle(request.epoch, relayed);
       const heartbeat = fullHeartbeats[i];
       assert.ok(heartbeat);
       if (response.outcome === 'accepted') this.full.handler.handleDirect(heartbeat);
-      return response;
+      return { ...response, fencingToken: this.relayed.epoch };
     });
     const { epoch } = this.relayed;
-    return decodeResponse(encodeResponse(1, { type: 'heartbeatResponses', epoch, responses }))
-      .message;
+    const response: PeerResponse = { type: 'fencedHeartbeatResponses', epoch, responses };
+    return decodeResponse(encodeResponse(1, response)).message;
   }
 
   private handle(epoch: number, relayed: RelayedHeartbeat): HeartbeatResponse {
--- a/test/unit/peer.test.ts
+++ b/test/unit/peer.test.ts
@@ -70,6 +70,13 @@
     epoch: 5,
     heartbeats: [{ kind: 'full', heartbeat }, unchanged],
   },
+  {
+    type: 'workerHeartbeats',
+    node: ControllerId('node-2'),
+    epoch: 5,
+    heartbeats: [unchanged],
+    readsFencingTokens: true,
+  },
   {
     type: 'sendCommands',
     address: '10.1.0.1:9000',
@@ -88,6 +95,11 @@
     epoch: 5,
     responses: [{ outcome: 'accepted', baseline: 7, commands }],
   },
+  {
+    type: 'fencedHeartbeatResponses',
+    epoch: 5,
+    responses: [{ outcome: 'accepted', baseline: 7, commands, fencingToken: 9 }],
+  },
   { type: 'commandResult', outcome: 'answered', reason: '', heartbeat },
   { type: 'commandResult', outcome: 'unknown', reason: 'no response in time', heartbeat: null },
 ];
@@ -98,7 +110,10 @@
 void test('messages between controllers are decoded as they were encoded, and other data is refused', () => {
   for (const request of requests) {
     const bytes = encodeRequest(7, request);
-    assert.deepEqual(toPlain(decodeRequest(bytes)), toPlain({ id: 7, message: request }));
+    const { id, message } = decodeRequest(bytes);
+    assert.deepEqual(toPlain(message), toPlain(request));
+    const response = decodeResponse(encodeResponse(id, { type: 'acknowledged', ok: true }));
+    assert.equal(response.id, 7, 'the response has the id under which the request was sent');
     assert.throws(() => decodeResponse(bytes), request.type);
     assert.throws(() => decodeRequest(bytes.subarray(0, -1)), request.type);
   }
--- /dev/null
+++ b/test/unit/start-fencing.test.ts
@@ -0,0 +1,166 @@
+/**
+ * Checks when a machine's fencing token is raised and how far. If it is raised too rarely, a start command that arrives late runs
+ * a task again; if it exceeds the revisions at which the leader still led, a later leader's commands may be refused.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Machine } from '../../src/fleet/machine.js';
+import { toWorkerStatus, type WorkerStatus } from '../../src/fleet/worker-status.js';
+import { FencingTokens } from '../../src/leader/fencing-tokens.js';
+import { StartFencing } from '../../src/leader/start-fencing.js';
+import { Epoch, MachineId, Revision, SteadyMs, seconds } from '../../src/units/index.js';
+import type { TaskStatus } from '../../src/wire/index.js';
+import { createPlacedTask, emptyFleet, type PlacedTask } from '../support/fleet.js';
+
+const EPOCH = Epoch(50);
+const LEASE = seconds(24);
+const machineId = MachineId('vm-1');
+
+const statusOf = (tasks: TaskStatus[], change: { session?: number } = {}): WorkerStatus =>
+  toWorkerStatus({
+    session: 1,
+    sequence: 10,
+    fencingToken: EPOCH,
+    reclaimNoticeSeconds: null,
+    tasks,
+    ...change,
+  });
+
+/** A machine with one task, whose start was sent directly under the epoch, and 100 later commits. */
+class Scene {
+  now = SteadyMs(1000);
+  lastCommittedRevision = Revision(EPOCH + 100);
+  readonly machine: Machine;
+  readonly task: PlacedTask;
+  readonly tokens = new FencingTokens(EPOCH, this);
+  private readonly fencing: StartFencing;
+
+  constructor() {
+    const fleet = emptyFleet(LEASE);
+    this.task = createPlacedTask(fleet, machineId, this.now);
+    const { job } = this.task;
+    this.machine = fleet.machines.get(machineId)!;
+    this.recordStart();
+    this.fencing = new StartFencing(new Map([[job.id, job]]), this.tokens, {
+      steady: () => this.now,
+    });
+  }
+
+  recordStart(): void {
+    const { key, placement } = this.task;
+    const fencingToken = this.tokens.tokenFor(this.machine);
+    this.machine.directStarts.recordSent({ task: key, attempt: placement.attempt, fencingToken });
+  }
+
+  taskStatus(state: string, exitReason?: string): TaskStatus {
+    const { key, placement } = this.task;
+    return { task: key, attempt: placement.attempt, state, exitReason };
+  }
+
+  /** Returns by how much the response to a status raises the token. */
+  raisedBy(tasks: TaskStatus[]): number {
+    const before = this.tokens.tokenFor(this.machine);
+    this.fencing.fence(this.machine, statusOf(tasks));
+    return this.tokens.tokenFor(this.machine) - before;
+  }
+}
+
+void test('the token is raised if a start that arrives late would run a task, or if an attempt could be forgotten', () => {
+  type Case = [
+    name: string,
+    change: (scene: Scene) => void,
+    tasks: (scene: Scene) => TaskStatus[],
+    isRaised: boolean,
+  ];
+  const none = (): TaskStatus[] => [];
+  const failed = (scene: Scene): TaskStatus[] => [scene.taskStatus('exited', 'error')];
+  const requeue = ({ task }: Scene): void => {
+    task.job.requeueTask(0);
+    task.job.committedVersion = task.job.version;
+  };
+  const cases: Case[] = [
+    ['the task should run there', () => undefined, none, false],
+    ['the task runs there', () => undefined, (scene) => [scene.taskStatus('running')], false],
+    ['the job is cancelled', ({ task }) => task.job.cancel(), none, true],
+    ['the task is evicted', ({ task }) => (task.placement.evictionGraceSeconds = 0), none, true],
+    [
+      'the task is evicted and still runs',
+      ({ task }) => (task.placement.evictionGraceSeconds = 0),
+      (scene) => [scene.taskStatus('running')],
+      false,
+    ],
+    ['the machine is draining', ({ machine }) => (machine.isDecommissioning = true), none, true],
+    ['the task is placed elsewhere, and the worker no longer knows it', requeue, none, true],
+    ['the task failed', requeue, failed, true],
+    ['the task failed, and is still placed there', () => undefined, failed, false],
+    [
+      'the task failed, and a command is on its way',
+      (scene) => {
+        requeue(scene);
+        scene.machine.hasCommandInFlight = true;
+      },
+      failed,
+      false,
+    ],
+    [
+      'the session with the start has ended',
+      ({ machine }) => {
+        machine.recordStatus(statusOf([]), SteadyMs(1));
+        machine.recordStatus(statusOf([], { session: 2 }), SteadyMs(2));
+      },
+      none,
+      true,
+    ],
+    ['the lease has expired', ({ machine }) => machine.expireLease(), none, true],
+    [
+      'nothing was committed since the epoch',
+      (scene) => {
+        requeue(scene);
+        scene.lastCommittedRevision = Revision(EPOCH);
+      },
+      failed,
+      false,
+    ],
+  ];
+  for (const [name, change, tasks, isRaised] of cases) {
+    const scene = new Scene();
+    change(scene);
+    assert.equal(scene.raisedBy(tasks(scene)), isRaised ? 1 : 0, name);
+    if (isRaised) assert.equal(scene.raisedBy(tasks(scene)), 0, `${name}: raised once`);
+  }
+});
+
+void test('a machine whose attempts end one after the other gets a higher token only now and then, unless a late start would do harm', () => {
+  const scene = new Scene();
+  const { task, machine } = scene;
+  task.job.requeueTask(0);
+  const failed = [scene.taskStatus('exited', 'error')];
+  assert.equal(scene.raisedBy(failed), 1);
+  scene.recordStart();
+  scene.now = SteadyMs(scene.now + 29_000);
+  assert.equal(scene.raisedBy(failed), 0);
+  scene.now = SteadyMs(scene.now + 1000);
+  assert.equal(scene.raisedBy(failed), 1);
+  scene.recordStart();
+  machine.hasCommandInFlight = true;
+  assert.equal(scene.raisedBy([]), 1, 'the worker has lost the attempt');
+});
+
+void test('a token is never lower than an earlier one, and never above the last commit of the term', () => {
+  const scene = new Scene();
+  const { tokens, machine } = scene;
+  scene.lastCommittedRevision = Revision(EPOCH + 2);
+  assert.deepEqual(
+    [tokens.raise(machine), tokens.raise(machine), tokens.raise(machine)],
+    [true, true, false],
+  );
+  assert.equal(tokens.tokenFor(machine), EPOCH + 2);
+  tokens.recordSent(machine, EPOCH + 1);
+  assert.equal(tokens.tokenFor(machine), EPOCH + 2);
+  // A worker that reports the token of a later leader.
+  machine.recordStatus({ ...statusOf([]), fencingToken: EPOCH + 3 }, SteadyMs(1));
+  assert.equal(tokens.tokenFor(machine), EPOCH + 2);
+  // A worker that was told a higher token before this machine was forgotten.
+  scene.lastCommittedRevision = Revision(EPOCH + 9);
+  assert.equal(tokens.tokenFor(machine), EPOCH + 3);
+});
--- a/test/unit/worker-heartbeat-handler.test.ts
+++ b/test/unit/worker-heartbeat-handler.test.ts
@@ -9,10 +9,21 @@
 import { shouldRedirectWorkers } from '../../src/leader/worker-redirects.js';
 import { MAX_FRAME_BYTES } from '../../src/peer/framing.js';
 import { encodeResponse } from '../../src/peer/codec.js';
+import type { WorkerHeartbeatsRequest } from '../../src/peer/messages.js';
 import { ControllerId, seconds, ms } from '../../src/units/index.js';
 import { encode, encodeHeartbeat, type Heartbeat, type Command } from '../../src/wire/index.js';
 import { EPOCH, createLeaderRequestHandlers } from '../support/leader-request-handlers.js';
 
+const relayedBy = (
+  node: string,
+  heartbeats: WorkerHeartbeatsRequest['heartbeats'],
+): WorkerHeartbeatsRequest => ({
+  type: 'workerHeartbeats',
+  node: ControllerId(node),
+  epoch: EPOCH,
+  heartbeats,
+});
+
 const heartbeatOf = (machine: string, fencingToken = 0): Heartbeat => ({
   machine,
   address: '',
@@ -38,7 +49,7 @@
       const full = { kind: 'full' as const, heartbeat: heartbeatOf('vm-1') };
       const accepted = isRelayed
         ? workerHeartbeatHandler
-            .handleRelayed(ControllerId('node-1'), EPOCH, [full])
+            .handleRelayed(relayedBy('node-1', [full]))
             .then(
               (response) =>
                 response.type === 'heartbeatResponses' &&
@@ -73,9 +84,7 @@
       },
     });
     const full = { kind: 'full' as const, heartbeat: heartbeatOf('vm-1', token) };
-    const response = await workerHeartbeatHandler.handleRelayed(ControllerId('node-1'), EPOCH, [
-      full,
-    ]);
+    const response = await workerHeartbeatHandler.handleRelayed(relayedBy('node-1', [full]));
     assert.ok(response.type === 'heartbeatResponses');
     assert.equal(response.responses[0]?.outcome, outcome, name);
   }
@@ -123,11 +132,7 @@
     'back at once: the worker cannot reach the other controller',
   );
   const full = { kind: 'full' as const, heartbeat: heartbeatOf('vm-2') };
-  const relayedResponse = await workerHeartbeatHandler.handleRelayed(
-    ControllerId('node-1'),
-    EPOCH,
-    [full],
-  );
+  const relayedResponse = await workerHeartbeatHandler.handleRelayed(relayedBy('node-1', [full]));
   assert.ok(relayedResponse.type === 'heartbeatResponses');
   assert.equal(relayedResponse.responses[0]?.outcome, 'accepted', 'relayed by another controller');
 });
@@ -148,7 +153,7 @@
   const batch = Array.from({ length: 60 }, (_, i) => {
     return { kind: 'full' as const, heartbeat: heartbeatOf(`vm-${i}`) };
   });
-  const pending = workerHeartbeatHandler.handleRelayed(ControllerId('node-1'), EPOCH, batch);
+  const pending = workerHeartbeatHandler.handleRelayed(relayedBy('node-1', batch));
   await new Promise((resolve) => setImmediate(resolve));
   await time.run(1000);
   const response = await pending;
@@ -193,7 +198,7 @@
     });
     let handledAt = Infinity;
     void workerHeartbeatHandler
-      .handleRelayed(ControllerId('node-1'), EPOCH, batch)
+      .handleRelayed(relayedBy('node-1', batch))
       .then(() => (handledAt = time.now));
     await new Promise((resolve) => setImmediate(resolve));
     await time.run(10_000);
