--- a/src/fleet/machine.ts
+++ b/src/fleet/machine.ts
@@ -69,8 +69,11 @@
   fencingToken = 0;
   /** When its fencing token was last raised. */
   tokenRaisedAt: SteadyMs | undefined;
-  /** Whether direct starts of an ended session, which its worker would execute after a restart, have the current token. */
-  hasUntrackedStarts = false;
+  /**
+   * Whether messages that its present token does not tell from newer ones may arrive late: direct starts of an ended
+   * session, which its worker would execute after a restart, or statuses from before a restart.
+   */
+  isTokenRaiseDue = false;
   /** Number of heartbeats in a row that show no effect of the responses to earlier ones. */
   private ignoredResponses = 0;
   /** Since when its heartbeats arrive but nothing sent to it does; undefined while it receives. */
@@ -123,8 +126,14 @@
     return this.cachedLoad;
   }
 
+  /**
+   * A worker never reports a lower token than before, unless it has restarted and numbers its messages from the start.
+   * So a status with a lower token is a late copy, or the first one after a restart, which a probe tells apart.
+   */
   private isNewer(status: WorkerStatus): boolean {
-    return status.session >= this.minSession && (!this.status || isAfter(status, this.status));
+    if (status.session < this.minSession) return false;
+    if (!this.status) return true;
+    return isAfter(status, this.status) && status.fencingToken >= this.status.fencingToken;
   }
 
   /** Stores a status as the newest one. Returns false if it is stale; then only `staleStatusAt` changes. */
@@ -157,13 +166,15 @@
 
   /**
    * Resets the session of a machine that restarted before the leader noticed its absence. Its session or message
-   * numbers start again from the beginning, so all its messages would otherwise count as stale.
+   * numbers start again from the beginning, so all its messages would otherwise count as stale. Once its token has been
+   * raised, late copies of messages from before the restart count as stale instead, although their numbers are higher.
    *
    * @param status from the response to a request of this leader, which proves that it is new
    */
   onRestart(status: WorkerStatus, now: SteadyMs): void {
     this.status = undefined;
     this.minSession = status.session;
+    this.isTokenRaiseDue = true;
     this.recordStatus(status, now);
   }
 
@@ -201,7 +212,7 @@
    * sessions from the start and would accept them again, until it sees a higher token.
    */
   private endSession(): void {
-    if (this.directStarts.size > 0) this.hasUntrackedStarts = true;
+    if (this.directStarts.size > 0) this.isTokenRaiseDue = true;
     this.directStarts.clear();
   }
 
--- a/src/leader/start-fencing.ts
+++ b/src/leader/start-fencing.ts
@@ -39,12 +39,12 @@
   fence(machine: Machine, status: WorkerStatus): void {
     const now = this.clock.steady();
     if (!this.isFencingDue(machine, status, now) || !this.tokens.raise(machine)) return;
-    machine.hasUntrackedStarts = false;
+    machine.isTokenRaiseDue = false;
     machine.tokenRaisedAt = now;
   }
 
   private isFencingDue(machine: Machine, status: WorkerStatus, now: SteadyMs): boolean {
-    if (machine.hasUntrackedStarts) return true;
+    if (machine.isTokenRaiseDue) return true;
     const { directStarts } = machine;
     const token = this.tokens.tokenFor(machine);
     let preventsClearance = false;
--- a/test/unit/fleet.test.ts
+++ b/test/unit/fleet.test.ts
@@ -48,6 +48,17 @@
     ['a new session, whose sequence numbers start again', [1, 10], [2, 1], true],
     ['a late status of the previous session', [2, 1], [1, 99], false],
   ];
+  const tokens: [name: string, first: number, second: number, isFresh: boolean][] = [
+    ['a higher token', 50, 51, true],
+    ['the same token', 51, 51, true],
+    ['a lower token, as only before or just after a restart', 51, 50, false],
+  ];
+  for (const [name, first, second, isFresh] of tokens) {
+    const machine = createMachine();
+    machine.recordStatus(statusWith({ sequence: 10, fencingToken: first }), SteadyMs(1));
+    const next = statusWith({ sequence: 11, fencingToken: second });
+    assert.equal(machine.recordStatus(next, SteadyMs(2)), isFresh, name);
+  }
   for (const [name, [session1, sequence1], [session2, sequence2], isFresh] of cases) {
     const machine = createMachine();
     const first = statusWith({ session: session1, sequence: sequence1 });
@@ -202,6 +213,25 @@
   }
 });
 
+void test('a copy of a status from before a restart, however late and highly numbered, proves no attempt absent', () => {
+  const machine = createMachine();
+  machine.recordStatus(statusWith({ sequence: 100 }), SteadyMs(1));
+  machine.onRestart(statusWith({ sequence: 2 }), SteadyMs(2));
+  assert.ok(machine.isTokenRaiseDue);
+  // The response to this heartbeat raised the token and started the attempt.
+  assert.ok(machine.recordStatus(statusWith({ sequence: 3 }), SteadyMs(3)));
+  const start = { isInherited: false, startSentInResponseTo: { session: 1, sequence: 3 } };
+  const running = { task: key, attempt: 2, state: 'running' };
+  const current = statusWith({ sequence: 4, fencingToken: 51, tasks: [running] });
+  assert.ok(machine.recordStatus(current, SteadyMs(4)));
+  const copy = statusWith({ sequence: 60 });
+  assert.equal(machine.recordStatus(copy, SteadyMs(5)), false);
+  const evidence = { source: 'heartbeat' as const, attempt: attemptKey(key, 2), start, epoch };
+  const { status, directStarts } = machine;
+  assert.ok(status);
+  assert.equal(isProvenAbsent({ ...evidence, status, directStarts }), false);
+});
+
 void test('a worker that has restarted may execute starts that were fenced before', () => {
   const machine = createMachine();
   machine.recordStatus(statusWith({ sequence: 5 }), SteadyMs(1));
--- a/test/unit/start-fencing.test.ts
+++ b/test/unit/start-fencing.test.ts
@@ -111,6 +111,12 @@
       none,
       true,
     ],
+    [
+      'the worker has restarted',
+      ({ machine }) => machine.onRestart(statusOf([]), SteadyMs(1)),
+      () => [],
+      true,
+    ],
     ['the lease has expired', ({ machine }) => machine.expireLease(), none, true],
     [
       'nothing was committed since the epoch',
