--- a/test/standin/load.ts
+++ b/test/standin/load.ts
@@ -21,9 +21,17 @@
   .option('--machines <n>', 'approximate number of machines that the jobs keep busy', Number, 300)
   .option('--warm <s>', 'seconds before the measurement', Number, 60)
   .option('--seconds <s>', 'seconds of the measurement', Number, 60)
+  .option('--runtime <factor>', 'factor for the runtimes of the jobs', Number, 1)
   .option('--node <flags>', 'flags for Node.js, such as --import FILE', '--max-semi-space-size=8')
   .parse()
-  .opts<{ main: string[]; machines: number; warm: number; seconds: number; node: string }>();
+  .opts<{
+    main: string[];
+    machines: number;
+    warm: number;
+    seconds: number;
+    runtime: number;
+    node: string;
+  }>();
 
 const OUTPUT_FOLDER = 'target/load';
 const SEED = 20261202;
@@ -104,6 +112,8 @@
   },
 ];
 
+const runtimeOf = ({ runMs }: JobStream): number => runMs * options.runtime;
+
 /** The benchmark of one build. */
 class BenchmarkRun {
   private readonly random = xoroshiro128plus(SEED);
@@ -172,8 +182,10 @@
     const heartbeatsPerSecond = (this.heartbeatCount() - before.heartbeats) / seconds;
     const startsPerSecond = (this.startedTaskCount - before.startedTasks) / seconds;
     console.log(
-      `${this.buildPath}: ${this.services.workers.size} machines, ${heartbeatsPerSecond.toFixed(0)} heartbeats/s, ` +
-        `${startsPerSecond.toFixed(1)} starts/s, ${cpuMsPerSecond.toFixed(0)} ms of processor time a second`,
+      `${this.buildPath}: ${this.services.workers.size} machines, ${heartbeatsPerSecond.toFixed(0)} heartbeats/s ` +
+        `with ${this.meanReportedAttempts().toFixed(2)} attempts each, ` +
+        `${startsPerSecond.toFixed(1)} starts/s, ${cpuMsPerSecond.toFixed(0)} ms of processor time a second, ` +
+        `${this.residentMegabytes().toFixed(0)} MB resident`,
     );
     return cpuMsPerSecond;
   }
@@ -213,6 +225,21 @@
     return Number(fields[11]) + Number(fields[12]);
   }
 
+  private residentMegabytes(): number {
+    const status = readFileSync(`/proc/${this.child.pid ?? 0}/status`, 'utf8');
+    return Number(/^VmRSS:\s+(\d+) kB$/m.exec(status)?.[1] ?? 0) / 1024;
+  }
+
+  /** How many attempts a worker reports on average, including those that have exited. */
+  private meanReportedAttempts(): number {
+    const workers = [...this.services.workers.values()];
+    const attempts = workers.reduce(
+      (sum, { worker }) => sum + worker.reportedTaskNames().length,
+      0,
+    );
+    return attempts / workers.length;
+  }
+
   private heartbeatCount(): number {
     return [...this.services.workers.values()].reduce(
       (sum, { worker }) => sum + worker.heartbeatCount,
@@ -230,7 +257,7 @@
   /** Submits jobs of a stream at the rate at which its share of the processors runs them. */
   private async submitStream(stream: JobStream): Promise<void> {
     const { taskCount, cpus } = stream.spec;
-    const cpuSecondsPerJob = (taskCount * cpus * stream.runMs) / 1000;
+    const cpuSecondsPerJob = (taskCount * cpus * runtimeOf(stream)) / 1000;
     const busyCpus = options.machines * CPUS_PER_MACHINE * stream.share * BUSY_CPU_SHARE;
     const intervalMs = (1000 * cpuSecondsPerJob) / busyCpus;
     while (!this.hasEnded) {
@@ -248,7 +275,7 @@
     const job = jobSpec({ ...stream.spec, id, image, imageSizeGb: 1 });
     const body = encodeJobSpec(job);
     const path = '/v1/jobs';
-    this.submittedJobs.set(id, { spec: job, runMs: stream.runMs });
+    this.submittedJobs.set(id, { spec: job, runMs: runtimeOf(stream) });
     while (!this.hasEnded) {
       const submission = { endpoint, method: 'POST' as const, path, body, timeout: SUBMIT_TIMEOUT };
       const outcome = await client.send(submission);
