--- a/src/api/job-handler.ts
+++ b/src/api/job-handler.ts
@@ -36,7 +36,6 @@
       const request = { type: 'readJob', job: id } as const;
       const response = await this.leaderRelay.send(route.peer, request, READ_TIMEOUT);
       if (response.kind === 'responded') return response.response;
-      if (response.kind === 'notSent') return serviceUnavailable('overloaded');
     }
     return this.readFromStore(id);
   }
@@ -64,7 +63,6 @@
       const request = { type: 'cancelJob', job: id } as const;
       const response = await this.leaderRelay.send(route.peer, request, CANCEL_TIMEOUT);
       if (response.kind === 'responded') return response.response;
-      if (response.kind === 'notSent') return serviceUnavailable('overloaded');
     }
     return this.cancelInStore(id, policy);
   }
--- a/src/api/leader-relay.ts
+++ b/src/api/leader-relay.ts
@@ -1,6 +1,6 @@
 /** Relays users' requests from this controller to the leader, as many at a time as the leader can answer. */
 import type { Peer } from '../peer/peer.js';
-import type { UserPeerRequest } from '../peer/messages.js';
+import type { PeerResponse, UserPeerRequest } from '../peer/messages.js';
 import { ConcurrencyLimit } from '../relay/concurrency-limit.js';
 import { ExpiringMap } from '../units/expiring-map.js';
 import {
@@ -10,18 +10,15 @@
   type DurationMs,
   type SteadyMs,
 } from '../units/index.js';
-import type { ApiResponse } from './api-response.js';
+import { serviceUnavailable, type ApiResponse } from './api-response.js';
 
 /** The result of a request to the leader. */
 export type LeaderResponse =
   | { readonly kind: 'responded'; readonly response: ApiResponse }
   /** No response, or one that leaves the outcome open: the leader may still carry out the request. */
-  | { readonly kind: 'noResponse' }
-  /** Not sent, since the leader has as many requests as it can answer. */
-  | { readonly kind: 'notSent' };
+  | { readonly kind: 'noResponse' };
 
 const NO_RESPONSE: LeaderResponse = { kind: 'noResponse' };
-const NOT_SENT: LeaderResponse = { kind: 'notSent' };
 
 /** The polls of a job that have not been relayed for this long are preferred. */
 const MAX_REFUSED_TIME = seconds(20);
@@ -40,26 +37,20 @@
 
   constructor(private readonly clock: Pick<Clock, 'steady'>) {}
 
-  /** Sends a request unless too many are in flight. */
+  /** Sends a request. If the leader has as many as it can answer, the response is a 503 without its being sent. */
   async send(leader: Peer, request: UserPeerRequest, timeout: DurationMs): Promise<LeaderResponse> {
     const sentAt = this.clock.steady();
     const permit = this.limit.acquire(sentAt, this.isPreferred(request, sentAt));
     if (!permit) {
       this.recordRefusal(request, sentAt);
-      return NOT_SENT;
+      return { kind: 'responded', response: serviceUnavailable('overloaded') };
     }
     if (request.type === 'readJob') this.refusedSince.delete(request.job);
-    const peerResponse = await leader.sendRequest(request, timeout);
-    this.limit.release(permit, this.clock.steady());
-    if (peerResponse?.type !== 'userResponse') return NO_RESPONSE;
-    // A 503 only means that the presumed leader is not ready.
-    if (peerResponse.status === 503) return NO_RESPONSE;
-    const response: ApiResponse = {
-      status: peerResponse.status,
-      ...(peerResponse.body.length > 0 ? { body: peerResponse.body } : {}),
-      ...(peerResponse.retryAfter > 0 ? { retryAfter: peerResponse.retryAfter } : {}),
-    };
-    return { kind: 'responded', response };
+    try {
+      return toLeaderResponse(await leader.sendRequest(request, timeout));
+    } finally {
+      this.limit.release(permit, this.clock.steady());
+    }
   }
 
   private isPreferred(request: UserPeerRequest, now: SteadyMs): boolean {
@@ -74,3 +65,15 @@
     this.refusedSince.set(request.job, since, now);
   }
 }
+
+function toLeaderResponse(peerResponse: PeerResponse | undefined): LeaderResponse {
+  if (peerResponse?.type !== 'userResponse') return NO_RESPONSE;
+  // A 503 only means that the presumed leader is not ready.
+  if (peerResponse.status === 503) return NO_RESPONSE;
+  const response: ApiResponse = {
+    status: peerResponse.status,
+    ...(peerResponse.body.length > 0 ? { body: peerResponse.body } : {}),
+    ...(peerResponse.retryAfter > 0 ? { retryAfter: peerResponse.retryAfter } : {}),
+  };
+  return { kind: 'responded', response };
+}
--- a/src/api/submission-handler.ts
+++ b/src/api/submission-handler.ts
@@ -63,10 +63,6 @@
   | { readonly kind: 'unknown' };
 
 const UNKNOWN: CommitOutcome = { kind: 'unknown' };
-const OVERLOADED: CommitOutcome = {
-  kind: 'responded',
-  response: serviceUnavailable('overloaded'),
-};
 
 /** Accepts or rejects submitted jobs. */
 export class SubmissionHandler {
@@ -123,7 +119,6 @@
       const request = { type: 'submitJob', body } as const;
       const response = await this.deps.leaderRelay.send(route.peer, request, SUBMIT_TIMEOUT);
       if (response.kind === 'responded') return response;
-      if (response.kind === 'notSent') return OVERLOADED;
     }
     return isUndecided ? UNKNOWN : this.writeRecord(spec);
   }
--- a/src/net/pooled-http-client.ts
+++ b/src/net/pooled-http-client.ts
@@ -70,21 +70,25 @@
 
   send(request: HttpRequest): Promise<HttpOutcome> {
     const pool = request.pool ?? 'worker';
-    if (pool !== 'worker') {
-      return new Promise((resolve) => {
-        new Exchange(request, this.singleHostAgents[pool], (outcome) => {
-          this.checkForRefusedSocket(outcome);
-          resolve(outcome);
-        });
-      });
-    }
-    if (!this.hasSocketFor(request.endpoint)) {
-      return Promise.resolve({ kind: 'undelivered', reason: 'no socket is free' });
-    }
+    return pool === 'worker'
+      ? this.sendToWorker(request)
+      : this.exchange(request, this.singleHostAgents[pool]);
+  }
+
+  private async sendToWorker(request: HttpRequest): Promise<HttpOutcome> {
+    if (!this.hasSocketFor(request.endpoint))
+      return { kind: 'undelivered', reason: 'no socket is free' };
     this.workerRequestsInFlight++;
+    try {
+      return await this.exchange(request, this.workerAgent);
+    } finally {
+      this.workerRequestsInFlight--;
+    }
+  }
+
+  private exchange(request: HttpRequest, agent: http.Agent): Promise<HttpOutcome> {
     return new Promise((resolve) => {
-      new Exchange(request, this.workerAgent, (outcome) => {
-        this.workerRequestsInFlight--;
+      new Exchange(request, agent, (outcome) => {
         this.checkForRefusedSocket(outcome);
         resolve(outcome);
       });
