--- a/test/unit/heartbeat-relay.test.ts
+++ b/test/unit/heartbeat-relay.test.ts
@@ -35,6 +35,7 @@
 import { Epoch, MachineId, ControllerId, Revision, ms } from '../../src/units/index.js';
 import type { Heartbeat, WorkerHeartbeatResponse, TaskStatus } from '../../src/wire/index.js';
 import { ProcessClock, VirtualTime } from '../standin/clock.js';
+import { heartbeatOf } from '../support/heartbeat.js';
 import { emptyFleet } from '../support/fleet.js';
 import { settingsFile } from '../support/settings-file.js';
 
@@ -42,19 +43,6 @@
 const settings = parseSettings(settingsFile());
 const log = pino({ level: 'silent' });
 
-const heartbeatOf = (machine: string, change: Partial<Heartbeat> = {}): Heartbeat => ({
-  machine,
-  address: '10.1.0.1:9000',
-  machineType: 'small',
-  zone: 'a',
-  spot: true,
-  session: 1,
-  sequence: 1,
-  fencingToken: 0,
-  reclaimNoticeSeconds: null,
-  tasks: [],
-  ...change,
-});
 const running = (task: string): TaskStatus => ({ task, attempt: 1, state: 'running' });
 
 /** The fleet of a leader without jobs, and its handler of heartbeats. */
--- a/test/unit/relayed-fencing-tokens.test.ts
+++ b/test/unit/relayed-fencing-tokens.test.ts
@@ -12,22 +12,10 @@
 import { ControllerId } from '../../src/units/index.js';
 import type { Heartbeat } from '../../src/wire/index.js';
 import { ProcessClock, VirtualTime } from '../standin/clock.js';
+import { heartbeatOf } from '../support/heartbeat.js';
 import { EPOCH, createLeaderRequestHandlers } from '../support/leader-request-handlers.js';
 
 const log = pino({ level: 'silent' });
-const heartbeatOf = (machine: string, fencingToken = 0): Heartbeat => ({
-  machine,
-  address: '10.1.0.1:9000',
-  machineType: 'small',
-  zone: 'a',
-  spot: true,
-  session: 1,
-  sequence: 1,
-  fencingToken,
-  reclaimNoticeSeconds: null,
-  tasks: [],
-});
-
 void test('each relayed heartbeat gets a response with the token of its machine, which a leader of the version before has in common for all', async () => {
   const response = { outcome: 'accepted' as const, baseline: 1, commands: [] };
   const cases: [name: string, response: PeerResponse, tokens: number[]][] = [
--- a/test/unit/worker-heartbeat-handler.test.ts
+++ b/test/unit/worker-heartbeat-handler.test.ts
@@ -11,7 +11,8 @@
 import { encodeResponse } from '../../src/peer/codec.js';
 import type { WorkerHeartbeatsRequest } from '../../src/peer/messages.js';
 import { ControllerId, seconds, ms } from '../../src/units/index.js';
-import { encode, encodeHeartbeat, type Heartbeat, type Command } from '../../src/wire/index.js';
+import { encode, encodeHeartbeat, type Command } from '../../src/wire/index.js';
+import { heartbeatOf } from '../support/heartbeat.js';
 import { EPOCH, createLeaderRequestHandlers } from '../support/leader-request-handlers.js';
 
 const relayedBy = (
@@ -24,19 +25,6 @@
   heartbeats,
 });
 
-const heartbeatOf = (machine: string, fencingToken = 0): Heartbeat => ({
-  machine,
-  address: '',
-  machineType: 'small',
-  zone: 'a',
-  spot: true,
-  session: 1,
-  sequence: 1,
-  fencingToken,
-  reclaimNoticeSeconds: null,
-  tasks: [],
-});
-
 void test('a heartbeat gets no 200 before the leader knows which jobs are cancelled', async () => {
   for (const becomesReady of [true, false]) {
     for (const isRelayed of [true, false]) {
@@ -83,7 +71,7 @@
         return handle();
       },
     });
-    const full = { kind: 'full' as const, heartbeat: heartbeatOf('vm-1', token) };
+    const full = { kind: 'full' as const, heartbeat: heartbeatOf('vm-1', { fencingToken: token }) };
     const response = await workerHeartbeatHandler.handleRelayed(relayedBy('node-1', [full]));
     assert.ok(response.type === 'heartbeatResponses');
     assert.equal(response.responses[0]?.outcome, outcome, name);
