--- a/src/fleet/attempt-absence.ts
+++ b/src/fleet/attempt-absence.ts
@@ -43,9 +43,9 @@
   epoch,
 }: AbsenceEvidence): boolean {
   const reported = status.byAttempt.get(attempt);
-  // A start command has no effect while the worker knows that the attempt has exited.
-  if (reported) return reported.state === TaskState.exited;
-  if (directStarts.isExecutableUnder(status.fencingToken, attempt)) return false;
+  if (reported && reported.state !== TaskState.exited) return false;
+  // A start command has no effect while the worker knows the attempt.
+  if (!reported && directStarts.isExecutableUnder(status.fencingToken, attempt)) return false;
   if (start.isInherited && status.fencingToken < epoch) return false;
   const { startSentInResponseTo } = start;
   if (!startSentInResponseTo || status.session > startSentInResponseTo.session) return true;
--- a/src/fleet/machine.ts
+++ b/src/fleet/machine.ts
@@ -70,8 +70,8 @@
   /** When its fencing token was last raised. */
   tokenRaisedAt: SteadyMs | undefined;
   /**
-   * Whether messages that its present token does not tell from newer ones may arrive late: direct starts of an ended
-   * session, which its worker would execute after a restart, or statuses from before a restart.
+   * Whether a message may arrive late that only a higher token tells from newer ones: a direct start of an ended session,
+   * which its worker would execute after a restart, or a status from before a restart.
    */
   isTokenRaiseDue = false;
   /** Number of heartbeats in a row that show no effect of the responses to earlier ones. */
