--- a/src/fleet/direct-starts.ts
+++ b/src/fleet/direct-starts.ts
@@ -16,7 +16,7 @@
  * effect. Once the worker has forgotten the attempt, it would run the task again, unless it has seen a fencing token
  * higher than that of the command.
  */
-export class DirectStarts implements Iterable<DirectStart> {
+export class DirectStarts implements Iterable<[attempt: string, start: DirectStart]> {
   private readonly byAttempt = new Map<string, DirectStart>();
   /** The highest token of a start that was removed because the worker refuses it. */
   private highestFencedToken = -1;
@@ -25,8 +25,9 @@
     return this.byAttempt.size;
   }
 
-  [Symbol.iterator](): IterableIterator<DirectStart> {
-    return this.byAttempt.values();
+  /** The starts by `attemptKey`. */
+  [Symbol.iterator](): IterableIterator<[attempt: string, start: DirectStart]> {
+    return this.byAttempt.entries();
   }
 
   /**
--- a/src/leader/start-fencing.ts
+++ b/src/leader/start-fencing.ts
@@ -1,7 +1,7 @@
 /** Decides when a machine's fencing token is raised, so that its worker refuses earlier direct starts. */
 import type { DirectStart } from '../fleet/direct-starts.js';
 import type { Machine } from '../fleet/machine.js';
-import { attemptKey, type WorkerStatus } from '../fleet/worker-status.js';
+import type { WorkerStatus } from '../fleet/worker-status.js';
 import type { Job } from '../ledger/job.js';
 import {
   parseTaskKey,
@@ -11,6 +11,7 @@
   type JobId,
   type SteadyMs,
 } from '../units/index.js';
+import { TaskState, type TaskStatus } from '../wire/index.js';
 import { isForgettable } from './attempt-clearance.js';
 import type { FencingTokens } from './fencing-tokens.js';
 import { placementOfAttempt, shouldRequeueIfAbsent } from './placement-state.js';
@@ -48,9 +49,11 @@
     const { directStarts } = machine;
     const token = this.tokens.tokenFor(machine);
     let preventsClearance = false;
-    for (const start of directStarts) {
-      if (start.fencingToken < token) continue;
-      const effect = this.effectOf(start, machine, status);
+    for (const [key, start] of directStarts) {
+      const reported = status.byAttempt.get(key);
+      const isRunning = reported !== undefined && reported.state !== TaskState.exited;
+      if (isRunning || start.fencingToken < token) continue;
+      const effect = this.effectOf(start, machine, reported);
       if (effect === 'harmful') return true;
       preventsClearance ||= effect === 'preventsClearance';
     }
@@ -60,11 +63,10 @@
   private effectOf(
     { task, attempt }: DirectStart,
     machine: Machine,
-    status: WorkerStatus,
+    reported: TaskStatus | undefined,
   ): LateStartEffect {
     const ref = parseTaskKey(task);
     const job = ref && this.jobs.get(ref.job);
-    const reported = status.byAttempt.get(attemptKey(task, attempt));
     if (ref && reported)
       return isForgettable(machine, reported, ref, job) ? 'preventsClearance' : 'harmless';
     const placement = ref && placementOfAttempt(job, ref.index, machine.id, attempt);
