--- a/src/fleet/direct-starts.ts
+++ b/src/fleet/direct-starts.ts
@@ -43,6 +43,11 @@
     this.byAttempt.set(attemptKey(start.task, start.attempt), start);
   }
 
+  /** Removes the start of an attempt that may be executed at any time without harm. */
+  remove(attempt: string): void {
+    this.byAttempt.delete(attempt);
+  }
+
   /** Removes the starts that the worker refuses because it has seen a higher fencing token. */
   removeFenced(fencingToken: number): void {
     for (const [attempt, start] of this.byAttempt) {
--- a/src/leader/attempt-clearance.ts
+++ b/src/leader/attempt-clearance.ts
@@ -1,33 +1,69 @@
 /** Decides when a worker may forget an attempt that has exited. */
+import type { Settings } from '../config/settings.js';
 import type { Machine } from '../fleet/machine.js';
 import { attemptKey } from '../fleet/worker-status.js';
 import type { Job } from '../ledger/job.js';
+import type { Ledger } from '../ledger/ledger.js';
 import type { TaskRef } from '../units/index.js';
-import { ExitReason, TaskState, type TaskStatus } from '../wire/index.js';
+import { ExitReason, JobStatus, TaskState, type TaskStatus } from '../wire/index.js';
 import type { FencingTokens } from './fencing-tokens.js';
 import { placementOfAttempt } from './placement-state.js';
 
+/**
+ * What another start of a task that a worker has forgotten does. A completed task exits as soon as it is started again.
+ * `forbidden`: it breaks a rule. `harmlessNow`: it breaks none, but may do so once the job is cancelled. `harmless`: it
+ * never breaks any.
+ */
+export type RerunEffect = 'forbidden' | 'harmlessNow' | 'harmless';
+
 /**
  * Decides which attempts a worker may forget. Once a worker has forgotten an attempt, a start of it would run the
  * task again. Such a start may still be in flight, or be a late copy of one that was executed long ago.
  */
 export class AttemptClearance {
-  constructor(private readonly tokens: Pick<FencingTokens, 'tokenFor'>) {}
+  constructor(
+    private readonly ledger: Pick<Ledger, 'finalState'>,
+    private readonly tokens: Pick<FencingTokens, 'tokenFor'>,
+    private readonly settings: Pick<Settings, 'teams'>,
+  ) {}
 
   /**
-   * Whether the next message to the worker may tell it to forget the attempt: nothing is lost by that, and the token
-   * of the message makes the worker refuse all starts of the attempt.
+   * Whether the next message to the worker may tell it to forget the attempt: nothing is lost by that, and another start
+   * of it is harmless, or the token of the message makes the worker refuse it.
    *
    * @param ref the task of the status
    * @param job the live job of the task; undefined if there is none
    */
   canClear(machine: Machine, status: TaskStatus, ref: TaskRef, job: Job | undefined): boolean {
+    if (!isForgettable(machine, status, ref, job)) return false;
     const attempt = attemptKey(status.task, status.attempt);
+    const token = this.tokens.tokenFor(machine);
     return (
-      isForgettable(machine, status, ref, job) &&
-      !machine.directStarts.isExecutableUnder(this.tokens.tokenFor(machine), attempt)
+      !machine.directStarts.isExecutableUnder(token, attempt) ||
+      this.rerunEffect(ref, job) !== 'forbidden'
     );
   }
+
+  /** What another start of the task does if its worker knows none of its attempts. */
+  rerunEffect(ref: TaskRef, job: Job | undefined): RerunEffect {
+    if (job) return this.isRerunForbidden(ref, job) ? 'forbidden' : 'harmlessNow';
+    const final = this.ledger.finalState(ref.job);
+    return final?.status === JobStatus.done && !this.hasQuota(final.team)
+      ? 'harmless'
+      : 'forbidden';
+  }
+
+  /** Even a completed task violates some constraints in the moment until it exits. */
+  private isRerunForbidden({ index }: TaskRef, job: Job): boolean {
+    const { team, singleZone, spreadZones } = job.spec;
+    if (!job.isTaskDone(index) || !areCompletionsStored(job)) return true;
+    return job.isCancelled || singleZone || spreadZones || this.hasQuota(team);
+  }
+
+  private hasQuota(teamName: string): boolean {
+    const team = this.settings.teams.get(teamName);
+    return team !== undefined && (team.maxCpus > 0 || team.maxGpus > 0);
+  }
 }
 
 /** Whether an attempt has exited and its worker's status is not needed any more. */
--- a/src/leader/response-commands.ts
+++ b/src/leader/response-commands.ts
@@ -24,12 +24,12 @@
   private readonly fencing: StartFencing;
 
   constructor(
-    private readonly ledger: Pick<Ledger, 'jobs'>,
+    private readonly ledger: Pick<Ledger, 'jobs' | 'finalState'>,
     tokens: FencingTokens,
-    private readonly deps: Pick<TermDependencies, 'clock' | 'log'>,
+    private readonly deps: Pick<TermDependencies, 'clock' | 'log' | 'settings'>,
   ) {
-    this.clearance = new AttemptClearance(tokens);
-    this.fencing = new StartFencing(ledger.jobs, tokens, deps.clock);
+    this.clearance = new AttemptClearance(ledger, tokens, deps.settings);
+    this.fencing = new StartFencing(ledger.jobs, tokens, this.clearance, deps.clock);
   }
 
   /**
--- a/src/leader/start-fencing.ts
+++ b/src/leader/start-fencing.ts
@@ -12,16 +12,21 @@
   type SteadyMs,
 } from '../units/index.js';
 import { TaskState, type TaskStatus } from '../wire/index.js';
-import { isForgettable } from './attempt-clearance.js';
+import { isForgettable, type AttemptClearance } from './attempt-clearance.js';
 import type { FencingTokens } from './fencing-tokens.js';
 import { placementOfAttempt, shouldRequeueIfAbsent } from './placement-state.js';
 
 /** A machine's token is raised at most this often to let its worker forget attempts, since each raise may cost a heartbeat. */
-const MIN_CLEARANCE_INTERVAL = seconds(30);
+const MIN_CLEARANCE_INTERVAL = seconds(60);
+
+/** So many direct starts of a machine are kept track of until its token is raised. */
+const MAX_TRACKED_STARTS = 100;
 
 /** What the arrival of a direct start at a worker would do. */
 type LateStartEffect =
-  /** The worker knows the attempt, or the task should run there. */
+  /** Nothing, now or later. */
+  | 'none'
+  /** The worker knows the attempt, the task should run there, or it is done and exits at once. */
   | 'harmless'
   /** Nothing while the worker knows the attempt, which it could forget otherwise. */
   | 'preventsClearance'
@@ -33,6 +38,7 @@
   constructor(
     private readonly jobs: ReadonlyMap<JobId, Job>,
     private readonly tokens: FencingTokens,
+    private readonly clearance: Pick<AttemptClearance, 'rerunEffect'>,
     private readonly clock: Pick<Clock, 'steady'>,
   ) {}
 
@@ -48,13 +54,14 @@
     if (machine.isTokenRaiseDue) return true;
     const { directStarts } = machine;
     const token = this.tokens.tokenFor(machine);
-    let preventsClearance = false;
+    let preventsClearance = directStarts.size > MAX_TRACKED_STARTS;
     for (const [key, start] of directStarts) {
       const reported = status.byAttempt.get(key);
       const isRunning = reported !== undefined && reported.state !== TaskState.exited;
       if (isRunning || start.fencingToken < token) continue;
       const effect = this.effectOf(start, machine, reported);
       if (effect === 'harmful') return true;
+      if (effect === 'none') directStarts.remove(key);
       preventsClearance ||= effect === 'preventsClearance';
     }
     return preventsClearance && canRaiseForClearance(machine, now);
@@ -66,16 +73,34 @@
     reported: TaskStatus | undefined,
   ): LateStartEffect {
     const ref = parseTaskKey(task);
-    const job = ref && this.jobs.get(ref.job);
-    if (ref && reported)
-      return isForgettable(machine, reported, ref, job) ? 'preventsClearance' : 'harmless';
-    const placement = ref && placementOfAttempt(job, ref.index, machine.id, attempt);
-    return job && placement && !shouldRequeueIfAbsent(machine, job, placement)
-      ? 'harmless'
-      : 'harmful';
+    if (!ref) return 'harmful';
+    const job = this.jobs.get(ref.job);
+    const isNeeded = reported
+      ? !isForgettable(machine, reported, ref, job)
+      : isStartWanted(machine, job, ref.index, attempt);
+    if (isNeeded) return 'harmless';
+    switch (this.clearance.rerunEffect(ref, job)) {
+      case 'harmless':
+        return reported ? 'harmless' : 'none';
+      case 'harmlessNow':
+        return 'harmless';
+      case 'forbidden':
+        return reported ? 'preventsClearance' : 'harmful';
+    }
   }
 }
 
+/** Whether the attempt is placed on the machine and should run there. */
+function isStartWanted(
+  machine: Machine,
+  job: Job | undefined,
+  index: number,
+  attempt: number,
+): boolean {
+  const placement = placementOfAttempt(job, index, machine.id, attempt);
+  return job && placement ? !shouldRequeueIfAbsent(machine, job, placement) : false;
+}
+
 /** Whether the token may be raised only to let the worker forget attempts. It would refuse a command in flight. */
 function canRaiseForClearance(
   { hasCommandInFlight, tokenRaisedAt }: Machine,
