--- a/review/lib-2/cluster.mjs
+++ b/review/lib-2/cluster.mjs
@@ -27,6 +27,7 @@
 
 /** Seconds on the steady clock since the script began. */
 export const now = () => performance.now() / 1000;
+/** Resolves after that many seconds. */
 export const sleep = (seconds) => new Promise((resolve) => setTimeout(resolve, seconds * 1000));
 
 /** Waits until `condition` returns something true, and returns that; undefined after `seconds`. */
@@ -52,23 +53,36 @@
   }
 }
 
-async function freePorts(count) {
-  const servers = await Promise.all(
-    Array.from(
-      { length: count },
-      () =>
-        new Promise((resolve, reject) => {
-          const server = net.createServer();
-          server.on('error', reject);
-          server.listen(0, HOST, () => resolve(server));
-        }),
-    ),
-  );
-  const ports = servers.map((server) => server.address().port);
-  await Promise.all(servers.map((server) => new Promise((done) => server.close(done))));
-  return ports;
+/** Free ports, each kept by a listener until `release`, so that no outgoing connection gets it meanwhile. */
+class Ports {
+  listeners = new Map();
+
+  async reserve(count) {
+    const servers = await Promise.all(
+      Array.from(
+        { length: count },
+        () =>
+          new Promise((resolve, reject) => {
+            const server = net.createServer((socket) => socket.destroy());
+            server.on('error', reject);
+            server.listen(0, HOST, () => resolve(server));
+          }),
+      ),
+    );
+    for (const server of servers) this.listeners.set(server.address().port, server);
+    return [...this.listeners.keys()];
+  }
+
+  /** Resolves once something else can listen on the port. */
+  release(port) {
+    const server = this.listeners.get(port);
+    this.listeners.delete(port);
+    return server ? new Promise((resolve) => server.close(resolve)) : Promise.resolve();
+  }
 }
 
+const ports = new Ports();
+
 /** Sends one request. Returns `{status, body}`, or undefined if there is no response in time. */
 export function request({ port, method, path: target, body, timeout, agent, onConnectionFailed }) {
   return new Promise((resolve) => {
@@ -141,8 +155,75 @@
   }
 }
 
+/** A TCP connection path between two controllers that can be held: bytes wait and arrive in order afterwards. */
+export class PeerPath {
+  isHeld = false;
+  connections = new Set();
+
+  constructor(port, target) {
+    this.port = port;
+    this.server = net.createServer((inner) => this.connect(inner, target));
+  }
+
+  async open() {
+    await ports.release(this.port);
+    await new Promise((resolve) => this.server.listen(this.port, HOST, resolve));
+  }
+
+  connect(inner, target) {
+    if (this.isHeld) {
+      // A connection attempt during the interruption gets no answer.
+      inner.on('error', () => undefined);
+      inner.pause();
+      return;
+    }
+    const outer = net.connect({ host: HOST, port: target });
+    const pair = { inner, outer };
+    this.connections.add(pair);
+    const end = () => {
+      this.connections.delete(pair);
+      const finish = () => {
+        inner.destroy();
+        outer.end();
+      };
+      if (this.isHeld) this.onRelease(finish);
+      else finish();
+    };
+    for (const socket of [inner, outer]) {
+      socket.on('error', end);
+      socket.on('close', end);
+    }
+    this.forward(inner, outer);
+    this.forward(outer, inner);
+  }
+
+  forward(from, to) {
+    from.on('data', (chunk) => {
+      const pass = () => !to.destroyed && to.write(chunk);
+      if (this.isHeld) this.onRelease(pass);
+      else pass();
+    });
+  }
+
+  waiting = [];
+
+  onRelease(run) {
+    this.waiting.push(run);
+  }
+
+  hold() {
+    this.isHeld = true;
+  }
+
+  release() {
+    this.isHeld = false;
+    for (const run of this.waiting.splice(0)) run();
+  }
+}
+
 /** Serves requests on a port; `handle` returns `{status, body}` or a promise of it. */
-function serve(port, link, handle) {
+async function serve(port, link, handle) {
+  await ports.release(port);
   const server = http.createServer((incoming, outgoing) => {
     const chunks = [];
     incoming.on('error', () => undefined);
@@ -458,6 +539,8 @@
   isHung = false;
   /** Called with each report and each request to `/commands` as it is sent, for cases that deliver copies. */
   onMessage = () => undefined;
+  /** Called with the running tasks when the lease is over. */
+  onLeaseOver = () => undefined;
   recallAt = undefined;
   hasChange = false;
   isReporting = false;
@@ -550,6 +633,7 @@
     const { lease_s: lease, report_s: every } = this.cluster.params.workers;
     const time = now();
     if (time - this.renewedAt > lease) {
+      this.onLeaseOver(this.runningTasks());
       this.dropTasks('lease over');
       this.session++;
       this.renewedAt = time;
@@ -1025,8 +1109,8 @@
   async open() {
     const { zones } = this.options;
     const count = zones.length;
-    const ports = await freePorts(count * 5 + 40);
-    const take = () => ports.pop();
+    const free = await ports.reserve(count * (count + 3) + 40);
+    const take = () => free.pop();
     this.nodes = zones.map((zone, index) => ({
       name: `worker-${index}`,
       index,
@@ -1039,7 +1123,16 @@
       cloudLink: new Link(),
       isUp: false,
     }));
-    this.workerPorts = ports;
+    for (const from of this.nodes) {
+      from.paths = new Map();
+      for (const to of this.nodes) {
+        if (to === from || !this.options.hasPeerPaths) continue;
+        const link = new PeerPath(take(), to.peerPort);
+        await link.open();
+        from.paths.set(to, link);
+      }
+    }
+    this.workerPorts = free;
     for (const node of this.nodes) {
       this.servers.push(
         await serve(node.storePort, node.storeLink, async (method, target, body) => {
@@ -1072,7 +1165,7 @@
         .map((other) => ({
           node: other.name,
           area: other.zone,
-          endpoint: `${HOST}:${node.peerPortOf?.(other) ?? other.peerPort}`,
+          endpoint: `${HOST}:${node.paths.get(other)?.port ?? other.peerPort}`,
         })),
       endpoints: { cloud: `${HOST}:${node.cloudPort}`, state: `${HOST}:${node.storePort}` },
       params: { nodes: this.nodes.length, zones: [...new Set(zones)].sort(), ...params },
@@ -1112,15 +1205,13 @@
 
   log(node, line) {
     try {
-      const {
-        level,
-        msg,
-        time: _time,
-        node: _node,
-        pid: _pid,
-        hostname: _host,
-        ...rest
-      } = JSON.parse(line);
+      const { level, msg, ...rest } = JSON.parse(line);
+      Object.assign(rest, {
+        time: undefined,
+        node: undefined,
+        pid: undefined,
+        hostname: undefined,
+      });
       if (/report|usage/.test(msg) && level === 'info' && msg.length < 30) return;
       this.record.write(
         `  log ${node.name} ${level}: ${msg} ${JSON.stringify(rest).slice(0, 240)}`,
@@ -1167,7 +1258,11 @@
 
   /** Starts all nodes and waits for a leader that answers. */
   async begin() {
-    for (const node of this.nodes) this.start(node);
+    for (const node of this.nodes) {
+      await ports.release(node.apiPort);
+      await ports.release(node.peerPort);
+      this.start(node);
+    }
     const isReady = await until(() => this.leader(), 15);
     if (!isReady) throw new Error('no leader within 15 s');
     const end = now() + 15;
