Log heartbeats that are older than the newest status of their machine

With the level debug the line says which token the answer carries, in which order the heartbeat and the newest status stand, and how many direct starts a worker with that token still executes.

--- a/src/fleet/direct-starts.ts
+++ b/src/fleet/direct-starts.ts
@@ -39,6 +39,13 @@
     return fencingToken <= (start?.fencingToken ?? this.highestFencedToken);
   }
 
+  /** The number of starts that a worker may still execute if `fencingToken` is the highest token that it has seen. */
+  countExecutableUnder(fencingToken: number): number {
+    let count = 0;
+    for (const start of this.byAttempt.values()) if (start.fencingToken >= fencingToken) count++;
+    return count;
+  }
+
   recordSent(start: DirectStart): void {
     this.byAttempt.set(attemptKey(start.task, start.attempt), start);
   }
--- a/src/leader/heartbeat-handler.ts
+++ b/src/leader/heartbeat-handler.ts
@@ -1,4 +1,5 @@
 /** Handles heartbeats of workers and responds with commands. */
+import type { Logger } from 'pino';
 import type { Machine } from '../fleet/machine.js';
 import { workerLeaseEnd } from '../fleet/worker-lease.js';
 import { toWorkerStatus, type WorkerStatus } from '../fleet/worker-status.js';
@@ -26,6 +27,7 @@
 export interface HeartbeatHandlerDependencies {
   readonly epoch: Epoch;
   readonly clock: Clock;
+  readonly log: Logger;
   /** The duration of a worker's lease. */
   readonly lease: DurationMs;
   readonly placements: PlacementIndex;
@@ -113,11 +115,34 @@
     if (isFresh && last) this.deliveryCheck.check(machine, status, last, now);
     // A stale heartbeat also gets a response, with which the worker renews its lease from when it sent the heartbeat.
     machine.extendLease(workerLeaseEnd(now, lease));
-    if (!isFresh) return { fencingToken: tokens.tokenFor(machine), commands: [] };
+    if (!isFresh) return this.respondToStale(machine, status);
     machine.relayControllerId = relayId;
     if (!wasUp) onMachineUp();
     observer.observe(machine, status, 'heartbeat');
     const commands = responseCommands.commandsForHeartbeat(machine, status);
     return { fencingToken: tokens.tokenFor(machine), commands };
   }
+  /** The worker may have restarted, or the heartbeat is a late copy, whose response no worker receives. */
+  private respondToStale(machine: Machine, status: WorkerStatus): WorkerHeartbeatResponse {
+    const { log, tokens } = this.deps;
+    const fencingToken = tokens.tokenFor(machine);
+    if (log.isLevelEnabled('debug'))
+      log.debug(
+        {
+          machine: machine.id,
+          fencingToken,
+          heartbeat: orderOf(status),
+          newest: machine.status && orderOf(machine.status),
+          executableStarts: machine.directStarts.countExecutableUnder(fencingToken),
+        },
+        'heartbeat is older than the newest status of its machine',
+      );
+    return { fencingToken, commands: [] };
+  }
 }
+
+const orderOf = ({ session, sequence, fencingToken }: WorkerStatus): object => ({
+  session,
+  sequence,
+  fencingToken,
+});
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -161,10 +161,11 @@
   }
 
   private createHeartbeatHandler(observer: StatusReconciler): HeartbeatHandler {
-    const { clock, settings } = this.deps;
+    const { clock, log, settings } = this.deps;
     return new HeartbeatHandler({
       epoch: this.epoch,
       clock,
+      log,
       lease: settings.workers.lease,
       placements: this.placements,
       tokens: this.fencingTokens,
--- a/test/unit/heartbeat-relay.test.ts
+++ b/test/unit/heartbeat-relay.test.ts
@@ -61,6 +61,7 @@
     this.handler = new HeartbeatHandler({
       epoch,
       clock,
+      log,
       lease: settings.workers.lease,
       placements,
       tokens: new FencingTokens(epoch, { lastCommittedRevision: Revision(epoch) }),
