Answer a worker that may have restarted with a token that fences forgotten starts

A task fails on a machine and goes on elsewhere; the machine is back after a restart and gets a 200; half a second later a copy of the task's start command arrives there, and the task runs on both.

While a worker reports an exited attempt, a copy of its start does nothing, so the leader leaves the machine's token as it is (a raise costs a heartbeat). That takes for granted that the worker still knows the attempt. A restarted worker knows neither attempt nor token. Its heartbeat is older than the newest status, so it was answered with the present token, that of the start: the worker then takes every copy of that start for a valid command. When the restart is noticed does not matter, since a copy may come at any time after that answer.

Fix: the answer to a heartbeat that is older than the newest status carries a token above those of the direct starts that the worker, knowing only what this heartbeat shows, may not execute. If the heartbeat shows a token from before the term, as a restarted worker's first one does, these are all that it does not show: a report from before the restart may still arrive and move their tasks. Nothing is waited for, and no request to the store is made. If the token can't be raised, nothing was committed since these starts, so no task of theirs has been moved or its cancellation confirmed; the raise is made with the next message. Late copies cost at most one raise for each direct start.

The stand-in worker no longer takes the response to a heartbeat from before its restart, as its process is gone.

--- a/src/leader/fencing-tokens.ts
+++ b/src/leader/fencing-tokens.ts
@@ -22,6 +22,11 @@
     return this.ledger.lastCommittedRevision;
   }
 
+  /** Whether a worker that reports this token as its highest one has seen no token of this term. */
+  isFromEarlierTerm(fencingToken: number): boolean {
+    return fencingToken < this.epoch;
+  }
+
   /** The token for the next message to a machine: never lower than that of an earlier one in this term. */
   tokenFor({ fencingToken, status }: Machine): number {
     const reported = status?.fencingToken ?? 0;
--- a/src/leader/heartbeat-handler.ts
+++ b/src/leader/heartbeat-handler.ts
@@ -16,6 +16,7 @@
 import type { FencingTokens } from './fencing-tokens.js';
 import type { PlacementIndex } from './placement-index.js';
 import { ResponseDeliveryCheck } from './response-delivery-check.js';
+import type { StartFencing } from './start-fencing.js';
 
 /** Decides the response commands for a heartbeat. */
 export interface ResponseCommandSource {
@@ -32,6 +33,7 @@
   readonly lease: DurationMs;
   readonly placements: PlacementIndex;
   readonly tokens: Pick<FencingTokens, 'tokenFor' | 'recordSent'>;
+  readonly fencing: Pick<StartFencing, 'tokenForStaleStatus'>;
   readonly observer: StatusObserver;
   readonly responseCommands: ResponseCommandSource;
   /** Called when a machine comes up, so that tasks can be placed on it. */
@@ -124,8 +126,8 @@
   }
   /** The worker may have restarted, or the heartbeat is a late copy, whose response no worker receives. */
   private respondToStale(machine: Machine, status: WorkerStatus): WorkerHeartbeatResponse {
-    const { log, tokens } = this.deps;
-    const fencingToken = tokens.tokenFor(machine);
+    const { fencing, log } = this.deps;
+    const fencingToken = fencing.tokenForStaleStatus(machine, status);
     if (log.isLevelEnabled('debug'))
       log.debug(
         {
--- a/src/leader/response-commands.ts
+++ b/src/leader/response-commands.ts
@@ -1,14 +1,13 @@
 /** Chooses the commands that the response to a heartbeat carries. */
+import type { Logger } from 'pino';
 import type { Machine } from '../fleet/machine.js';
 import { attemptKey, type WorkerStatus } from '../fleet/worker-status.js';
 import type { Ledger } from '../ledger/ledger.js';
 import { parseTaskKey } from '../units/index.js';
 import { TaskState, type Command, type TaskStatus } from '../wire/index.js';
-import { AttemptClearance } from './attempt-clearance.js';
-import type { TermDependencies } from './term-dependencies.js';
-import type { FencingTokens } from './fencing-tokens.js';
+import type { AttemptClearance } from './attempt-clearance.js';
 import { isCommitted, placementOfAttempt, shouldRequeueIfAbsent } from './placement-state.js';
-import { StartFencing } from './start-fencing.js';
+import type { StartFencing } from './start-fencing.js';
 import { clearCommand, killCommand, startCommand } from './task-commands.js';
 
 /** A message with this many commands gets no further start commands, so that it fits in a response to a worker. */
@@ -20,17 +19,12 @@
  * repeated in every response until a status shows the attempt.
  */
 export class ResponseCommands {
-  private readonly clearance: AttemptClearance;
-  private readonly fencing: StartFencing;
-
   constructor(
-    private readonly ledger: Pick<Ledger, 'jobs' | 'finalState'>,
-    tokens: FencingTokens,
-    private readonly deps: Pick<TermDependencies, 'clock' | 'log' | 'settings'>,
-  ) {
-    this.clearance = new AttemptClearance(ledger, tokens, deps.settings);
-    this.fencing = new StartFencing(ledger.jobs, tokens, this.clearance, deps.clock);
-  }
+    private readonly ledger: Pick<Ledger, 'jobs'>,
+    private readonly fencing: Pick<StartFencing, 'fence'>,
+    private readonly clearance: Pick<AttemptClearance, 'canClear'>,
+    private readonly log: Logger,
+  ) {}
 
   /**
    * Builds the commands for the worker that sent this status with a heartbeat. The machine's fencing token may be raised
@@ -49,7 +43,7 @@
   }
 
   private logCleared(machine: Machine, commands: readonly Command[]): void {
-    const { log } = this.deps;
+    const { log } = this;
     if (!log.isLevelEnabled('debug')) return;
     const attempts = commands.filter(({ type }) => type === 'clear').map(attemptOf);
     if (attempts.length === 0) return;
--- a/src/leader/start-fencing.ts
+++ b/src/leader/start-fencing.ts
@@ -42,12 +42,46 @@
     private readonly clock: Pick<Clock, 'steady'>,
   ) {}
 
-  /** Raises the machine's token, for the response to this status, if a direct start must not be executed any more. */
+  /** Raises the machine's token, for the response to its newest status, if a direct start must not be executed any more. */
   fence(machine: Machine, status: WorkerStatus): void {
-    const now = this.clock.steady();
-    if (!this.isFencingDue(machine, status, now) || !this.tokens.raise(machine)) return;
+    if (this.isFencingDue(machine, status, this.clock.steady())) this.raise(machine);
+  }
+
+  /**
+   * The token for the response to a status that is older than the machine's newest one. Its worker may have restarted, and
+   * then knows no more than the status shows. The response may be the first one that it gets, and must not let it execute
+   * any start that it has forgotten.
+   */
+  tokenForStaleStatus(machine: Machine, status: WorkerStatus): number {
+    return this.tokenForUncertainReceiver(machine, (attempt, start) => {
+      if (status.byAttempt.has(attempt)) return false;
+      // The task of a start can be moved by a report from before the restart that arrives after this status.
+      return this.tokens.isFromEarlierTerm(status.fencingToken) || this.isHarmful(machine, start);
+    });
+  }
+
+  private tokenForUncertainReceiver(
+    machine: Machine,
+    mustBeFenced: (attempt: string, start: DirectStart) => boolean,
+  ): number {
+    const token = this.tokens.tokenFor(machine);
+    for (const [attempt, start] of machine.directStarts) {
+      if (machine.isTokenRaiseDue) break;
+      machine.isTokenRaiseDue = start.fencingToken >= token && mustBeFenced(attempt, start);
+    }
+    if (machine.isTokenRaiseDue) this.raise(machine);
+    return this.tokens.tokenFor(machine);
+  }
+
+  private isHarmful(machine: Machine, start: DirectStart): boolean {
+    return this.effectOf(start, machine, undefined) === 'harmful';
+  }
+
+  /** If the token can't be raised, nothing was committed since the starts were sent, so that no task has been moved yet. */
+  private raise(machine: Machine): void {
+    if (!this.tokens.raise(machine)) return;
     machine.isTokenRaiseDue = false;
-    machine.tokenRaisedAt = now;
+    machine.tokenRaisedAt = this.clock.steady();
   }
 
   private isFencingDue(machine: Machine, status: WorkerStatus, now: SteadyMs): boolean {
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -19,6 +19,7 @@
   type SteadyMs,
 } from '../units/index.js';
 import type { Heartbeat, WorkerHeartbeatResponse, JobSpec } from '../wire/index.js';
+import { AttemptClearance } from './attempt-clearance.js';
 import { DirectCommandSender } from './direct-command-sender.js';
 import { ContactHistory } from './contact-history.js';
 import type { TermDependencies } from './term-dependencies.js';
@@ -33,12 +34,15 @@
 import { JobRecovery } from './job-recovery.js';
 import { ResponseCommands } from './response-commands.js';
 import { Scheduler } from './scheduler.js';
+import { StartFencing } from './start-fencing.js';
 import { StatusReconciler } from './status-reconciler.js';
 
 /** Leads under one epoch. `start` is called once; `close` ends all work of the term. */
 export class Term {
   private readonly ledger: Ledger;
   private readonly fencingTokens: FencingTokens;
+  private readonly clearance: AttemptClearance;
+  private readonly startFencing: StartFencing;
   private readonly fleet: Fleet;
   private readonly placements: PlacementIndex;
   private readonly commands: DirectCommandSender;
@@ -63,6 +67,8 @@
     this.jobRecovery = new JobRecovery(deps, (job) => this.jobRequests.addStoredJob(job));
     this.ledger = this.createLedger();
     this.fencingTokens = new FencingTokens(epoch, this.ledger);
+    this.clearance = new AttemptClearance(this.ledger, this.fencingTokens, deps.settings);
+    this.startFencing = this.createStartFencing();
     this.fleet = this.createFleet(startedAt);
     this.placements = this.createPlacementIndex();
     const observer = new StatusReconciler(epoch, this.placements, deps);
@@ -132,6 +138,11 @@
     });
   }
 
+  private createStartFencing(): StartFencing {
+    const { ledger, fencingTokens, clearance } = this;
+    return new StartFencing(ledger.jobs, fencingTokens, clearance, this.deps.clock);
+  }
+
   private createFleet(startedAt: SteadyMs): Fleet {
     const { catalog, imageHints, settings } = this.deps;
     return new Fleet({
@@ -170,7 +181,8 @@
       placements: this.placements,
       tokens: this.fencingTokens,
       observer,
-      responseCommands: new ResponseCommands(this.ledger, this.fencingTokens, this.deps),
+      fencing: this.startFencing,
+      responseCommands: new ResponseCommands(this.ledger, this.startFencing, this.clearance, log),
       onMachineUp: () => this.scheduler.schedulePlacement(),
     });
   }
--- a/test/sim/late-copies.test.ts
+++ b/test/sim/late-copies.test.ts
@@ -4,31 +4,25 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { SimulatedCluster } from '../standin/simulated-cluster.js';
+import type { SimulatedCluster } from '../standin/simulated-cluster.js';
+import {
+  createClusterWithRoom,
+  endTask,
+  reports,
+  startTasksDirectly,
+  type TaskScene,
+} from '../support/task-scene.js';
 
 /** From just over three worker leases, as in the review, to far longer. */
 const COPY_DELAYS_MS = [90_000, 200_000, 900_000];
-/** Longer than any task in these tests is meant to run. */
-const LONG_RUN_MS = 2_000_000;
 /** The time in which a worker is told to forget an attempt that has exited. */
 const MAX_FORGET_MS = 75_000;
 
-/** A task on a machine, in a cluster in which another machine has room for it too. */
-interface Scene {
-  readonly cluster: SimulatedCluster;
-  readonly job: string;
-  readonly machine: string;
-}
-
-/** Starts a cluster in which several machines are in use, each with room for another task. */
-async function createClusterWithRoom(seed: number): Promise<SimulatedCluster> {
-  const cluster = new SimulatedCluster({ seed, maxCpus: 0 });
-  cluster.cloud.bootFailureShare = 0;
-  await cluster.run(3000);
-  cluster.users.submit({ taskCount: 8, cpus: 3 }, LONG_RUN_MS);
-  await cluster.run(70_000);
-  assert.ok(cluster.workers.size >= 2);
-  return cluster;
+/** Delays copies of the requests to the workers' own addresses. */
+function delayCopies(cluster: SimulatedCluster, delayMs: number): void {
+  const addresses = new Set([...cluster.workers.values()].map(({ machine }) => machine.address));
+  cluster.network.duplicateDelivery = (path, to) =>
+    path === '/commands' && addresses.has(to) ? { to, afterMs: delayMs } : undefined;
 }
 
 /** Runs tasks that are started by direct commands, of which copies arrive `delayMs` later. */
@@ -36,29 +30,16 @@
   cluster: SimulatedCluster,
   delayMs: number,
   taskCount = 1,
-): Promise<Scene> {
-  const addresses = new Set([...cluster.workers.values()].map(({ machine }) => machine.address));
-  cluster.network.duplicateDelivery = (path, to) =>
-    path === '/commands' && addresses.has(to) ? { to, afterMs: delayMs } : undefined;
-  const job = cluster.users.submit({ taskCount, cpus: 1 }, LONG_RUN_MS);
-  // Before the first response to a heartbeat could start the task.
-  await cluster.run(1500);
-  cluster.network.duplicateDelivery = undefined;
-  await cluster.run(3000);
-  const [machine = ''] = cluster.machinesOf(job);
-  assert.ok(cluster.workers.has(machine), 'the task has started');
-  return { cluster, job, machine };
+): Promise<TaskScene> {
+  delayCopies(cluster, delayMs);
+  return startTasksDirectly(cluster, taskCount, () => {
+    cluster.network.duplicateDelivery = undefined;
+  });
 }
 
-const startTask = async (seed: number, delayMs: number, taskCount = 1): Promise<Scene> =>
+const startTask = async (seed: number, delayMs: number, taskCount = 1): Promise<TaskScene> =>
   startTasks(await createClusterWithRoom(seed), delayMs, taskCount);
 
-const endTask = ({ cluster, machine }: Scene, task: string, cause: 'done' | 'error'): void =>
-  cluster.workers.get(machine)?.worker.endTask(task, cause);
-
-const reports = ({ cluster, machine }: Scene, task: string): boolean =>
-  cluster.workers.get(machine)?.worker.reportedTaskNames().includes(task) === true;
-
 for (const delayMs of COPY_DELAYS_MS) {
   void test(`a copy of a start command that is ${delayMs / 1000} s late does not run a failed task twice`, async () => {
     const scene = await startTask(31, delayMs);
--- a/test/standin/worker.ts
+++ b/test/standin/worker.ts
@@ -46,6 +46,8 @@
   private hasUnreportedChange = false;
   private tokenReportedAt = -Infinity;
   private isDead = false;
+  /** How often it has restarted. Responses to requests from before a restart have no receiver. */
+  private restartCount = 0;
   isHung = false;
   /** How many heartbeats it has sent so far. */
   heartbeatCount = 0;
@@ -100,6 +102,8 @@
   /** Restarts the worker at once, without any of its state. */
   restart(): void {
     this.tasks.dropTasksAndImages();
+    this.restartCount++;
+    this.isHeartbeatPending = false;
     this.session = 1;
     this.sequence = 0;
     this.fencingToken = 0;
@@ -187,7 +191,7 @@
     this.hasUnreportedChange = false;
     const sentAt = clock.steady();
     this.lastHeartbeatAt = sentAt;
-    const { session } = this;
+    const { session, restartCount } = this;
     const outcome = await http.send({
       endpoint: Endpoint(controllers[this.controllerIndex % controllers.length]?.address ?? ''),
       method: 'POST',
@@ -195,8 +199,8 @@
       body: this.createHeartbeat(),
       timeout: HEARTBEAT_TIMEOUT_MS,
     });
+    if (this.isDead || restartCount !== this.restartCount) return;
     this.isHeartbeatPending = false;
-    if (this.isDead) return;
     // A hung machine ignores the response, which would be outdated when it resumes.
     if (this.isHung) this.hasUnreportedChange = true;
     else if (outcome.kind === 'response' && outcome.status === 200) {
--- a/test/unit/direct-command-sender.test.ts
+++ b/test/unit/direct-command-sender.test.ts
@@ -11,6 +11,7 @@
 import type { Machine } from '../../src/fleet/machine.js';
 import { workerLeaseEnd } from '../../src/fleet/worker-lease.js';
 import { attemptKey, toWorkerStatus } from '../../src/fleet/worker-status.js';
+import { AttemptClearance } from '../../src/leader/attempt-clearance.js';
 import type { PlacementIndex } from '../../src/leader/placement-index.js';
 import {
   DirectCommandSender,
@@ -19,6 +20,7 @@
 import { prepareDirectCommands } from '../../src/leader/direct-commands.js';
 import { FencingTokens } from '../../src/leader/fencing-tokens.js';
 import { ResponseCommands } from '../../src/leader/response-commands.js';
+import { StartFencing } from '../../src/leader/start-fencing.js';
 import { Epoch, MachineId, Revision, SteadyMs, seconds } from '../../src/units/index.js';
 import { encodeHeartbeat, type Priority } from '../../src/wire/index.js';
 import { emptyFleet, createPlacedTask, type PlacedTask } from '../support/fleet.js';
@@ -141,11 +143,10 @@
       machine.directStarts.recordSent({ task: key, attempt, fencingToken: epoch });
     const ledger = { jobs: new Map([[job.id, job]]), finalState: () => undefined };
     const tokens = new FencingTokens(epoch, { lastCommittedRevision: Revision(epoch + 1) });
-    const responseCommands = new ResponseCommands(ledger, tokens, {
-      clock,
-      settings,
-      log: pino({ level: 'silent' }),
-    });
+    const clearance = new AttemptClearance(ledger, tokens, settings);
+    const fencing = new StartFencing(ledger.jobs, tokens, clearance, clock);
+    const log = pino({ level: 'silent' });
+    const responseCommands = new ResponseCommands(ledger, fencing, clearance, log);
     const commands = responseCommands.commandsForHeartbeat(machine, toWorkerStatus(heartbeat));
     assert.deepEqual(
       commands.map((command) => command.type),
--- a/test/unit/heartbeat-relay.test.ts
+++ b/test/unit/heartbeat-relay.test.ts
@@ -58,13 +58,15 @@
       fleet: this.fleet,
       ledger: { jobs: new Map() },
     } as unknown as PlacementIndex;
+    const tokens = new FencingTokens(epoch, { lastCommittedRevision: Revision(epoch) });
     this.handler = new HeartbeatHandler({
       epoch,
       clock,
       log,
       lease: settings.workers.lease,
       placements,
-      tokens: new FencingTokens(epoch, { lastCommittedRevision: Revision(epoch) }),
+      tokens,
+      fencing: { tokenForStaleStatus: (machine) => tokens.tokenFor(machine) },
       observer: new StatusReconciler(epoch, placements, { clock, log: pino({ level: 'silent' }) }),
       responseCommands: { commandsForHeartbeat: () => [] },
       onMachineUp: () => undefined,
--- a/test/unit/start-fencing.test.ts
+++ b/test/unit/start-fencing.test.ts
@@ -27,7 +27,10 @@
 const LEASE = seconds(24);
 const machineId = MachineId('vm-1');
 
-const statusOf = (tasks: TaskStatus[], change: { session?: number } = {}): WorkerStatus =>
+const statusOf = (
+  tasks: TaskStatus[],
+  change: { session?: number; fencingToken?: number } = {},
+): WorkerStatus =>
   toWorkerStatus({
     session: 1,
     sequence: 10,
@@ -74,6 +77,14 @@
     return { task: key, attempt: placement.attempt, state, exitReason };
   }
 
+  /** Returns by how much the response to a status that is older than the newest one raises the token. */
+  raisedByStale(tasks: TaskStatus[], fencingToken: number): number {
+    const before = this.tokens.tokenFor(this.machine);
+    return (
+      this.fencing.tokenForStaleStatus(this.machine, statusOf(tasks, { fencingToken })) - before
+    );
+  }
+
   /** Returns by how much the response to a status raises the token. */
   raisedBy(tasks: TaskStatus[]): number {
     const before = this.tokens.tokenFor(this.machine);
@@ -210,3 +221,56 @@
   scene.lastCommittedRevision = Revision(EPOCH + 9);
   assert.equal(tokens.tokenFor(machine), EPOCH + 3);
 });
+
+void test('the token is raised for a worker that may have restarted, if it may execute a start that it has forgotten', () => {
+  const requeue = ({ task }: Scene): void => {
+    task.job.requeueTask(0);
+    task.job.committedVersion = task.job.version;
+  };
+  const nothingCommitted = (scene: Scene): void => {
+    scene.lastCommittedRevision = Revision(EPOCH);
+  };
+  type Case = [
+    name: string,
+    change: (scene: Scene) => void,
+    isReported: boolean,
+    fencingToken: number,
+    isRaised: boolean,
+  ];
+  const cases: Case[] = [
+    ['no token yet, and the task should run there', () => undefined, false, 0, true],
+    ['a token of an earlier leader', () => undefined, false, EPOCH - 1, true],
+    ['overtaken by the response to the start', () => undefined, false, EPOCH, false],
+    ['no token yet, and the task is placed elsewhere', requeue, false, 0, true],
+    ['the present token, and the task is placed elsewhere', requeue, false, EPOCH, true],
+    ['the attempt is known, and the task is placed elsewhere', requeue, true, EPOCH, false],
+    ['the attempt is known from a copy that came first', requeue, true, 0, false],
+    ['the job is cancelled', ({ task }) => task.job.cancel(), false, EPOCH, true],
+    [
+      'the start has a lower token than the next message',
+      ({ tokens, machine }) => void tokens.raise(machine),
+      false,
+      0,
+      false,
+    ],
+    ['no direct start was sent', ({ machine }) => machine.directStarts.clear(), false, 0, false],
+    ['the lease has expired', ({ machine }) => machine.expireLease(), false, 0, true],
+    ['nothing was committed since the epoch', nothingCommitted, false, 0, false],
+  ];
+  for (const [name, change, isReported, fencingToken, isRaised] of cases) {
+    const scene = new Scene();
+    change(scene);
+    const tasks = isReported ? [scene.taskStatus('exited', 'error')] : [];
+    assert.equal(scene.raisedByStale(tasks, fencingToken), isRaised ? 1 : 0, name);
+    if (isRaised) assert.equal(scene.raisedByStale(tasks, fencingToken), 0, `${name}: raised once`);
+  }
+  const scene = new Scene();
+  nothingCommitted(scene);
+  assert.equal(scene.raisedByStale([], 0), 0);
+  scene.lastCommittedRevision = Revision(EPOCH + 1);
+  assert.equal(
+    scene.raisedByStale([scene.taskStatus('running')], EPOCH),
+    1,
+    'raised once possible',
+  );
+});
