Send requests to workers with a token that fences starts which they may have forgotten

Callers saw (in the simulated cluster): a task that failed on a machine and went on elsewhere is started on the machine again. The machine restarts while its heartbeats reach no controller; a direct command, here the stop of another task, reaches it; then a copy of the start arrives.

The request assumed that the worker still knows what it was told: it carried the token of the start, which a restarted worker takes for valid from then on. Probes did the same.

Fix: a request carries a token above those of the direct starts to its machine that would do harm if a worker that knows nothing executed them. Its receiver may be another process than the one that sent the newest status. Starts are therefore recorded once the token of their request is known, by recordDirectStarts; prepareDirectCommands only chooses the commands.

The table for requests in start-fencing.test.ts is new. In direct-command-sender.test.ts the same starts are checked in the machine's record instead of in a list beside it.

--- a/src/fleet/direct-starts.ts
+++ b/src/fleet/direct-starts.ts
@@ -1,10 +1,9 @@
 /** Start commands that were sent to a worker's own address rather than in the response to a heartbeat. */
-import type { TaskKey } from '../units/index.js';
 import { attemptKey } from './worker-status.js';
 
 /** A direct start command. */
 export interface DirectStart {
-  readonly task: TaskKey;
+  readonly task: string;
   readonly attempt: number;
   /** The fencing token with which it was sent. */
   readonly fencingToken: number;
--- a/src/leader/direct-command-sender.ts
+++ b/src/leader/direct-command-sender.ts
@@ -11,11 +11,13 @@
   type JobId,
   type MachineId,
 } from '../units/index.js';
-import type { FencingTokens } from './fencing-tokens.js';
+import type { Command } from '../wire/index.js';
 import type { TermDependencies } from './term-dependencies.js';
 import { MachineProber } from './machine-prober.js';
 import type { PlacementIndex } from './placement-index.js';
-import { prepareDirectCommands, type DirectCommands } from './direct-commands.js';
+import { prepareDirectCommands, recordDirectStarts } from './direct-commands.js';
+import type { StartFencing } from './start-fencing.js';
+import { attemptOf } from './task-commands.js';
 import {
   WORKER_REQUEST_TIMEOUT,
   UNCONFIRMED_MACHINE_REQUEST_TIMEOUT,
@@ -52,7 +54,7 @@
   constructor(
     private readonly epoch: Epoch,
     private readonly placements: PlacementIndex,
-    private readonly tokens: Pick<FencingTokens, 'tokenFor'>,
+    private readonly fencing: Pick<StartFencing, 'tokenForRequest'>,
     private readonly observer: StatusObserver,
     private readonly deps: DirectCommandSenderDependencies,
   ) {
@@ -61,7 +63,7 @@
     });
     this.prober = new MachineProber({
       requestSender: this.requestSender,
-      tokens,
+      fencing,
       jobs: this.jobs,
       observer,
       deps,
@@ -100,14 +102,13 @@
       if (!this.requestSender.hasFreeSocket) return;
       this.pendingMachines.delete(machine);
       if (machine.hasCommandInFlight || !this.canSendTo(machine)) continue;
-      const batch = prepareDirectCommands(
-        machine,
-        this.jobs,
-        this.tokens.tokenFor(machine),
-        !this.isControllerBusy,
+      const commands = prepareDirectCommands(machine, this.jobs, !this.isControllerBusy);
+      if (commands.length === 0) continue;
+      const fencingToken = this.fencing.tokenForRequest(machine);
+      recordDirectStarts(machine, commands, fencingToken);
+      this.requestSender.startExchange(machine, () =>
+        this.sendBatch(machine, fencingToken, commands),
       );
-      if (batch.commands.length > 0)
-        this.requestSender.startExchange(machine, () => this.sendBatch(machine, batch));
     }
   }
 
@@ -122,7 +123,8 @@
 
   private async sendBatch(
     machine: Machine,
-    { fencingToken, commands, startedAttempts }: DirectCommands,
+    fencingToken: number,
+    commands: readonly Command[],
   ): Promise<void> {
     const wasUnconfirmed = machine.isUnconfirmed(this.epoch);
     const timeout = wasUnconfirmed ? UNCONFIRMED_MACHINE_REQUEST_TIMEOUT : WORKER_REQUEST_TIMEOUT;
@@ -144,12 +146,13 @@
     machine.commandsPausedUntil = addDuration(this.deps.clock.steady(), DIRECT_COMMAND_PAUSE);
     if (outcome !== 'undelivered') return;
     if (wasUnconfirmed && machine.isUnconfirmed(this.epoch))
-      this.requeueUnsentTasks(machine, startedAttempts);
+      this.requeueUnsentTasks(machine, commands);
   }
 
   /** Requeues tasks whose start command was never sent. No proof is needed that the machine does not run them. */
-  private requeueUnsentTasks(machine: Machine, startedAttempts: readonly string[]): void {
-    const unsentAttempts = new Set(startedAttempts);
+  private requeueUnsentTasks(machine: Machine, unsentCommands: readonly Command[]): void {
+    const unsentStarts = unsentCommands.filter(({ type }) => type === 'launch');
+    const unsentAttempts = new Set(unsentStarts.map(attemptOf));
     for (const [key, assigned] of [...machine.assignments]) {
       const job = this.jobs.get(assigned.job);
       const placement = job?.placements.get(assigned.index);
--- a/src/leader/machine-prober.ts
+++ b/src/leader/machine-prober.ts
@@ -11,7 +11,7 @@
   type SteadyMs,
 } from '../units/index.js';
 import type { StatusObserver } from './direct-command-sender.js';
-import type { FencingTokens } from './fencing-tokens.js';
+import type { StartFencing } from './start-fencing.js';
 import type { TermDependencies } from './term-dependencies.js';
 import {
   UNCONFIRMED_MACHINE_REQUEST_TIMEOUT,
@@ -26,7 +26,7 @@
 /** Dependencies of the prober. */
 export interface MachineProberOptions {
   readonly requestSender: WorkerRequestSender;
-  readonly tokens: Pick<FencingTokens, 'tokenFor'>;
+  readonly fencing: Pick<StartFencing, 'tokenForRequest'>;
   readonly jobs: ReadonlyMap<JobId, Job>;
   readonly observer: StatusObserver;
   readonly deps: Pick<TermDependencies, 'clock' | 'log' | 'settings'>;
@@ -67,10 +67,10 @@
   }
 
   private async probe(machine: Machine): Promise<void> {
-    const { requestSender, tokens, observer, deps } = this.options;
+    const { requestSender, fencing, observer, deps } = this.options;
     const statusBefore = machine.status;
     const { status } = await requestSender.sendRequest(machine, {
-      fencingToken: tokens.tokenFor(machine),
+      fencingToken: fencing.tokenForRequest(machine),
       commands: [],
       timeout: UNCONFIRMED_MACHINE_REQUEST_TIMEOUT,
     });
--- a/src/leader/response-commands.ts
+++ b/src/leader/response-commands.ts
@@ -8,7 +8,7 @@
 import type { AttemptClearance } from './attempt-clearance.js';
 import { isCommitted, placementOfAttempt, shouldRequeueIfAbsent } from './placement-state.js';
 import type { StartFencing } from './start-fencing.js';
-import { clearCommand, killCommand, startCommand } from './task-commands.js';
+import { attemptOf, clearCommand, killCommand, startCommand } from './task-commands.js';
 
 /** A message with this many commands gets no further start commands, so that it fits in a response to a worker. */
 export const MAX_COMMANDS_PER_MESSAGE = 300;
@@ -83,5 +83,3 @@
     }
   }
 }
-
-const attemptOf = ({ task, attempt }: Command): string => attemptKey(task, attempt);
--- a/src/leader/start-fencing.ts
+++ b/src/leader/start-fencing.ts
@@ -60,6 +60,13 @@
     });
   }
 
+  /** The token for a request to the worker, which may have restarted since its newest status and know no attempt. */
+  tokenForRequest(machine: Machine): number {
+    return this.tokenForUncertainReceiver(machine, (_attempt, start) =>
+      this.isHarmful(machine, start),
+    );
+  }
+
   private tokenForUncertainReceiver(
     machine: Machine,
     mustBeFenced: (attempt: string, start: DirectStart) => boolean,
--- a/src/leader/task-commands.ts
+++ b/src/leader/task-commands.ts
@@ -1,5 +1,6 @@
 /** Builds commands to workers for one attempt of a task. */
-import type { KillCommand, StartOrClearCommand } from '../wire/index.js';
+import { attemptKey } from '../fleet/worker-status.js';
+import type { Command, KillCommand, StartOrClearCommand } from '../wire/index.js';
 
 /** Starts the task. Repeated commands have no effect until the worker has forgotten the attempt. */
 export const startCommand = (task: string, attempt: number): StartOrClearCommand => ({
@@ -26,3 +27,6 @@
   attempt,
   gracePeriodSeconds,
 });
+
+/** The attempt that a command is for, as `attemptKey`. */
+export const attemptOf = ({ task, attempt }: Command): string => attemptKey(task, attempt);
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -75,7 +75,7 @@
     this.commands = new DirectCommandSender(
       epoch,
       this.placements,
-      this.fencingTokens,
+      this.startFencing,
       observer,
       deps,
     );
--- a/test/sim/restarted-machines.test.ts
+++ b/test/sim/restarted-machines.test.ts
@@ -1,6 +1,6 @@
 /**
- * Copies of start commands that reach a machine after a restart, once a controller has answered it. Guards against an answer
- * or a command that lets a restarted worker execute a start from before the restart, whose task was moved or cancelled.
+ * Copies of start commands that reach a machine after a restart, once it has got a message. Guards against a response
+ * or a request that lets a restarted worker execute a start from before the restart, whose task was moved or cancelled.
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
@@ -13,7 +13,7 @@
   type TaskScene,
 } from '../support/task-scene.js';
 
-/** When the copies arrive, after the first response to the restarted worker. */
+/** When the copies arrive, after the first message to the restarted worker. */
 const COPY_TIMES_MS = [0, 100, 500, 1500, 3000, 6000, 30_000];
 const STEP_MS = 10;
 const MAX_STEPS = 1000;
@@ -97,6 +97,18 @@
   await runUntil(cluster, () => isSent);
 }
 
+/** After the restart a command that stops another task reaches the worker, but none of its heartbeats is answered. */
+async function commandAfterRestart(scene: TaskScene): Promise<void> {
+  const { cluster, machine } = scene;
+  const [otherJob = ''] = cluster.jobs.keys();
+  assert.ok(cluster.machinesOf(otherJob).includes(machine));
+  await failAndMove(scene);
+  cluster.cloud.isUnavailable = true;
+  cluster.setHeartbeatsBlocked(machine, true);
+  cluster.restartWorker(machine);
+  await cancel({ ...scene, job: otherJob });
+}
+
 async function restartLeader({ cluster }: TaskScene): Promise<void> {
   const leader = cluster.leader() ?? 0;
   cluster.killController(leader);
@@ -137,6 +149,7 @@
     1,
     inTurn(failWithDelayedReport, restart, runUntilAnswered, runUntilMoved),
   ],
+  ['only a direct command has reached it', 1, commandAfterRestart],
   [
     'the leader was back within a second, and the task failed and runs elsewhere',
     1,
@@ -151,7 +164,7 @@
 
 for (const [name, taskCount, change] of CASES) {
   for (const seed of [41, 42, 43]) {
-    void test(`copies of start commands do not start a task on a machine that restarted and was answered: ${name} (seed ${seed})`, async () => {
+    void test(`copies of start commands do not start a task on a machine that restarted and then got a message: ${name} (seed ${seed})`, async () => {
       const cluster = await createClusterWithRoom(seed);
       // The worker is told at once to forget an attempt of this job, and so not of the next one for a while.
       const earlier = await startTasksDirectly(cluster);
--- a/test/unit/direct-command-sender.test.ts
+++ b/test/unit/direct-command-sender.test.ts
@@ -17,7 +17,7 @@
   DirectCommandSender,
   type DirectCommandSenderDependencies,
 } from '../../src/leader/direct-command-sender.js';
-import { prepareDirectCommands } from '../../src/leader/direct-commands.js';
+import { prepareDirectCommands, recordDirectStarts } from '../../src/leader/direct-commands.js';
 import { FencingTokens } from '../../src/leader/fencing-tokens.js';
 import { ResponseCommands } from '../../src/leader/response-commands.js';
 import { StartFencing } from '../../src/leader/start-fencing.js';
@@ -99,7 +99,7 @@
     const sender = new DirectCommandSender(
       epoch,
       placements as unknown as PlacementIndex,
-      { tokenFor: () => epoch },
+      { tokenForRequest: () => epoch },
       { observe: () => undefined },
       deps as unknown as DirectCommandSenderDependencies,
     );
@@ -207,24 +207,17 @@
     const task = createPlacedTask(fleet, machineId, SteadyMs(0));
     change(task, machine);
     const jobs = new Map([[task.job.id, task.job]]);
-    const { commands, startedAttempts: started } = prepareDirectCommands(
-      machine,
-      jobs,
-      epoch,
-      mayStart,
-    );
+    const commands = prepareDirectCommands(machine, jobs, mayStart);
+    recordDirectStarts(machine, commands, epoch);
     const commandNames = commands.map((command) =>
       command.type === 'kill' ? `kill ${command.gracePeriodSeconds}` : command.type,
     );
     assert.deepEqual(commandNames, expected, name);
     const attempt = attemptKey(task.key, task.placement.attempt);
     const isStart = expected.includes('launch');
+    const started = [...machine.directStarts].map(([key]) => key);
     assert.deepEqual(started, isStart ? [attempt] : [], name);
     assert.equal(machine.directStarts.isExecutableUnder(epoch, attempt), isStart, name);
-    assert.deepEqual(
-      prepareDirectCommands(machine, jobs, epoch, mayStart).commands,
-      [],
-      `${name}: sent once`,
-    );
+    assert.deepEqual(prepareDirectCommands(machine, jobs, mayStart), [], `${name}: sent once`);
   }
 });
--- a/test/unit/start-fencing.test.ts
+++ b/test/unit/start-fencing.test.ts
@@ -85,6 +85,12 @@
     );
   }
 
+  /** Returns by how much a request raises the token. */
+  raisedByRequest(): number {
+    const before = this.tokens.tokenFor(this.machine);
+    return this.fencing.tokenForRequest(this.machine) - before;
+  }
+
   /** Returns by how much the response to a status raises the token. */
   raisedBy(tasks: TaskStatus[]): number {
     const before = this.tokens.tokenFor(this.machine);
@@ -93,6 +99,12 @@
   }
 }
 
+/** Releases the task of the scene, so that it may be placed elsewhere. */
+const requeue = ({ task }: Scene): void => {
+  task.job.requeueTask(0);
+  task.job.committedVersion = task.job.version;
+};
+
 void test('the token is raised if a start that arrives late would run a task, or if an attempt could be forgotten', () => {
   type Case = [
     name: string,
@@ -102,10 +114,6 @@
   ];
   const none = (): TaskStatus[] => [];
   const failed = (scene: Scene): TaskStatus[] => [scene.taskStatus('exited', 'error')];
-  const requeue = ({ task }: Scene): void => {
-    task.job.requeueTask(0);
-    task.job.committedVersion = task.job.version;
-  };
   const complete = ({ task }: Scene): void => {
     task.job.completeTask(0);
     task.job.committedVersion = task.job.version;
@@ -223,10 +231,6 @@
 });
 
 void test('the token is raised for a worker that may have restarted, if it may execute a start that it has forgotten', () => {
-  const requeue = ({ task }: Scene): void => {
-    task.job.requeueTask(0);
-    task.job.committedVersion = task.job.version;
-  };
   const nothingCommitted = (scene: Scene): void => {
     scene.lastCommittedRevision = Revision(EPOCH);
   };
@@ -274,3 +278,31 @@
     'raised once possible',
   );
 });
+
+void test('a request raises the token if a worker that has restarted could execute a start with it', () => {
+  const cases: [name: string, change: (scene: Scene) => void, isRaised: boolean][] = [
+    ['the task should run there', () => undefined, false],
+    ['the task failed, and the worker still knew the attempt', requeue, true],
+    ['the job is cancelled', ({ task }) => task.job.cancel(), true],
+    ['the task is evicted', ({ task }) => (task.placement.evictionGraceSeconds = 0), true],
+    [
+      'the start has a lower token',
+      (scene) => {
+        requeue(scene);
+        scene.tokens.raise(scene.machine);
+      },
+      false,
+    ],
+    [
+      'the worker has restarted',
+      ({ machine }) => machine.onRestart(statusOf([]), SteadyMs(1)),
+      true,
+    ],
+  ];
+  for (const [name, change, isRaised] of cases) {
+    const scene = new Scene();
+    change(scene);
+    assert.equal(scene.raisedByRequest(), isRaised ? 1 : 0, name);
+    assert.equal(scene.raisedByRequest(), 0, `${name}: raised once`);
+  }
+});
