--- a/src/leader/attempt-clearance.ts
+++ b/src/leader/attempt-clearance.ts
@@ -56,7 +56,7 @@
   /** Even a completed task violates some constraints in the moment until it exits. */
   private isRerunForbidden({ index }: TaskRef, job: Job): boolean {
     const { team, singleZone, spreadZones } = job.spec;
-    if (!job.isTaskDone(index) || !areCompletionsStored(job)) return true;
+    if (!isCompletionStored(job, index)) return true;
     return job.isCancelled || singleZone || spreadZones || this.hasQuota(team);
   }
 
@@ -76,10 +76,11 @@
   if (state !== TaskState.exited || !job) return state === TaskState.exited;
   if (placementOfAttempt(job, index, machine.id, attempt)) return false;
   // The worker's status is the only record of a completion until the store has it.
-  return exitReason !== ExitReason.done || (job.isTaskDone(index) && areCompletionsStored(job));
+  return exitReason !== ExitReason.done || isCompletionStored(job, index);
 }
 
-/** Whether all completed tasks of a job are recorded in the store. */
-function areCompletionsStored(job: Job): boolean {
+/** Whether a task is done, and the store has recorded that. */
+function isCompletionStored(job: Job, index: number): boolean {
+  if (!job.isTaskDone(index)) return false;
   return job.committedVersion >= job.version || job.committedProgress.doneCount >= job.doneCount;
 }
