Keep the fencing token of a machine, and when and why it is raised, in one object

Machine held the three side by side, and StartFencing and FencingTokens each wrote some of them. No change of behaviour. The limit of tracked direct starts gets a test.

--- a/src/fleet/machine.ts
+++ b/src/fleet/machine.ts
@@ -15,6 +15,7 @@
   type MachineLoad,
   type ResourcesOf,
 } from './machine-load.js';
+import { MachineFencing } from './machine-fencing.js';
 import { DirectStarts } from './direct-starts.js';
 import { isAfter, type WorkerStatus } from './worker-status.js';
 
@@ -65,15 +66,6 @@
   /** After a direct command without a response, only heartbeat responses carry commands until then. */
   commandsPausedUntil = 0 as SteadyMs;
   hasCommandInFlight = false;
-  /** The highest fencing token in a message to it; 0 while that is the epoch. */
-  fencingToken = 0;
-  /** When its fencing token was last raised. */
-  tokenRaisedAt: SteadyMs | undefined;
-  /**
-   * Whether a message may arrive late that only a higher token tells from newer ones: a direct start of an ended session,
-   * which its worker would execute after a restart, or a status from before a restart.
-   */
-  isTokenRaiseDue = false;
   /** Number of heartbeats in a row that show no effect of the responses to earlier ones. */
   private ignoredResponses = 0;
   /** Since when its heartbeats arrive but nothing sent to it does; undefined while it receives. */
@@ -85,6 +77,7 @@
   private readonly assignedTasks = new Map<TaskKey, AssignedTask>();
   private cachedLoad: MachineLoad | undefined;
   readonly directStarts = new DirectStarts();
+  readonly fencing = new MachineFencing();
   readonly images: ImageCache;
   /** Whether the images that an earlier leader expected in the cache have been added. */
   hasImageHints = false;
@@ -174,7 +167,7 @@
   onRestart(status: WorkerStatus, now: SteadyMs): void {
     this.status = undefined;
     this.minSession = status.session;
-    this.isTokenRaiseDue = true;
+    this.fencing.isRaiseDue = true;
     this.recordStatus(status, now);
   }
 
@@ -212,7 +205,7 @@
    * sessions from the start and would accept them again, until it sees a higher token.
    */
   private endSession(): void {
-    if (this.directStarts.size > 0) this.isTokenRaiseDue = true;
+    if (this.directStarts.size > 0) this.fencing.isRaiseDue = true;
     this.directStarts.clear();
   }
 
--- a/src/leader/fencing-tokens.ts
+++ b/src/leader/fencing-tokens.ts
@@ -1,7 +1,7 @@
 /** The fencing tokens that messages to machines carry during one term. */
 import type { Machine } from '../fleet/machine.js';
 import type { Ledger } from '../ledger/ledger.js';
-import type { Epoch } from '../units/index.js';
+import type { Epoch, SteadyMs } from '../units/index.js';
 
 /**
  * Chooses the token in messages to each machine: the epoch at first. Raising a machine's token makes its worker refuse
@@ -28,21 +28,21 @@
   }
 
   /** The token for the next message to a machine: never lower than that of an earlier one in this term. */
-  tokenFor({ fencingToken, status }: Machine): number {
+  tokenFor({ fencing, status }: Machine): number {
     const reported = status?.fencingToken ?? 0;
-    return Math.max(this.epoch, fencingToken, reported <= this.highest ? reported : 0);
+    return Math.max(this.epoch, fencing.token, reported <= this.highest ? reported : 0);
   }
 
   /** Raises a machine's token. Returns false if that requires a further commit. */
-  raise(machine: Machine): boolean {
+  raise(machine: Machine, now: SteadyMs): boolean {
     const raised = this.tokenFor(machine) + 1;
     if (raised > this.highest) return false;
-    machine.fencingToken = raised;
+    machine.fencing.recordRaise(raised, now);
     return true;
   }
 
   /** Records that a message to a machine carries a token that was raised for another one. */
   recordSent(machine: Machine, fencingToken: number): void {
-    machine.fencingToken = Math.max(machine.fencingToken, fencingToken);
+    machine.fencing.recordSent(fencingToken);
   }
 }
--- a/src/leader/start-fencing.ts
+++ b/src/leader/start-fencing.ts
@@ -71,12 +71,13 @@
     machine: Machine,
     mustBeFenced: (attempt: string, start: DirectStart) => boolean,
   ): number {
+    const { directStarts, fencing } = machine;
     const token = this.tokens.tokenFor(machine);
-    for (const [attempt, start] of machine.directStarts) {
-      if (machine.isTokenRaiseDue) break;
-      machine.isTokenRaiseDue = start.fencingToken >= token && mustBeFenced(attempt, start);
+    for (const [attempt, start] of directStarts) {
+      if (fencing.isRaiseDue) break;
+      fencing.isRaiseDue = start.fencingToken >= token && mustBeFenced(attempt, start);
     }
-    if (machine.isTokenRaiseDue) this.raise(machine);
+    if (fencing.isRaiseDue) this.raise(machine);
     return this.tokens.tokenFor(machine);
   }
 
@@ -86,14 +87,12 @@
 
   /** If the token can't be raised, nothing was committed since the starts were sent, so that no task has been moved yet. */
   private raise(machine: Machine): void {
-    if (!this.tokens.raise(machine)) return;
-    machine.isTokenRaiseDue = false;
-    machine.tokenRaisedAt = this.clock.steady();
+    this.tokens.raise(machine, this.clock.steady());
   }
 
   private isFencingDue(machine: Machine, status: WorkerStatus, now: SteadyMs): boolean {
-    if (machine.isTokenRaiseDue) return true;
-    const { directStarts } = machine;
+    const { directStarts, fencing } = machine;
+    if (fencing.isRaiseDue) return true;
     const token = this.tokens.tokenFor(machine);
     let preventsClearance = directStarts.size > MAX_TRACKED_STARTS;
     for (const [key, start] of directStarts) {
@@ -143,12 +142,8 @@
 }
 
 /** Whether the token may be raised only to let the worker forget attempts. It would refuse a command in flight. */
-function canRaiseForClearance(
-  { hasCommandInFlight, tokenRaisedAt }: Machine,
-  now: SteadyMs,
-): boolean {
+function canRaiseForClearance({ hasCommandInFlight, fencing }: Machine, now: SteadyMs): boolean {
   if (hasCommandInFlight) return false;
-  return (
-    tokenRaisedAt === undefined || durationBetween(tokenRaisedAt, now) >= MIN_CLEARANCE_INTERVAL
-  );
+  const { raisedAt } = fencing;
+  return raisedAt === undefined || durationBetween(raisedAt, now) >= MIN_CLEARANCE_INTERVAL;
 }
--- a/test/unit/attempt-clearance.test.ts
+++ b/test/unit/attempt-clearance.test.ts
@@ -65,7 +65,7 @@
   const canClear = (): boolean =>
     clearance.canClear(machine, status, { job: job.id, index: 0 }, liveJob);
   const atOnce = canClear();
-  assert.ok(tokens.raise(machine));
+  assert.ok(tokens.raise(machine, SteadyMs(1)));
   return [atOnce, canClear()];
 }
 
--- a/test/unit/fleet.test.ts
+++ b/test/unit/fleet.test.ts
@@ -217,7 +217,7 @@
   const machine = createMachine();
   machine.recordStatus(statusWith({ sequence: 100 }), SteadyMs(1));
   machine.onRestart(statusWith({ sequence: 2 }), SteadyMs(2));
-  assert.ok(machine.isTokenRaiseDue);
+  assert.ok(machine.fencing.isRaiseDue);
   // The response to this heartbeat raised the token and started the attempt.
   assert.ok(machine.recordStatus(statusWith({ sequence: 3 }), SteadyMs(3)));
   const start = { isInherited: false, startSentInResponseTo: { session: 1, sequence: 3 } };
--- a/test/unit/start-fencing.test.ts
+++ b/test/unit/start-fencing.test.ts
@@ -216,7 +216,11 @@
   const { tokens, machine } = scene;
   scene.lastCommittedRevision = Revision(EPOCH + 2);
   assert.deepEqual(
-    [tokens.raise(machine), tokens.raise(machine), tokens.raise(machine)],
+    [
+      tokens.raise(machine, SteadyMs(1)),
+      tokens.raise(machine, SteadyMs(1)),
+      tokens.raise(machine, SteadyMs(1)),
+    ],
     [true, true, false],
   );
   assert.equal(tokens.tokenFor(machine), EPOCH + 2);
@@ -252,7 +256,7 @@
     ['the job is cancelled', ({ task }) => task.job.cancel(), false, EPOCH, true],
     [
       'the start has a lower token than the next message',
-      ({ tokens, machine }) => void tokens.raise(machine),
+      ({ tokens, machine }) => void tokens.raise(machine, SteadyMs(1)),
       false,
       0,
       false,
@@ -289,7 +293,7 @@
       'the start has a lower token',
       (scene) => {
         requeue(scene);
-        scene.tokens.raise(scene.machine);
+        scene.tokens.raise(scene.machine, SteadyMs(1));
       },
       false,
     ],
@@ -306,3 +310,21 @@
     assert.equal(scene.raisedByRequest(), 0, `${name}: raised once`);
   }
 });
+
+void test('the token is raised once more than 100 direct starts are kept track of, unless a command is on its way', () => {
+  const scene = new Scene();
+  const { machine } = scene;
+  const running = [scene.taskStatus('running')];
+  const startAnother = (): void => {
+    const task = `run-000002/${running.length}`;
+    running.push({ task, attempt: 1, state: 'running', exitReason: undefined });
+    machine.directStarts.recordSent({ task, attempt: 1, fencingToken: EPOCH });
+  };
+  while (machine.directStarts.size < 100) startAnother();
+  assert.equal(scene.raisedBy(running), 0);
+  startAnother();
+  machine.hasCommandInFlight = true;
+  assert.equal(scene.raisedBy(running), 0);
+  machine.hasCommandInFlight = false;
+  assert.equal(scene.raisedBy(running), 1);
+});
