Fence all starts that a worker without a token of the term does not show, also in the newest status

The rule for heartbeats that are older than the newest status now holds for every heartbeat. A restarted worker's second report can count as the newest one if its first is lost and the machine had reported only once before: it shows no token either, and a report from before the restart could still move a task that it does not show. Read from the code; no cluster brought it about. The unit table checks it: without the change the token is not raised.

--- a/src/leader/start-fencing.ts
+++ b/src/leader/start-fencing.ts
@@ -55,8 +55,7 @@
   tokenForStaleStatus(machine: Machine, status: WorkerStatus): number {
     return this.tokenForUncertainReceiver(machine, (attempt, start) => {
       if (status.byAttempt.has(attempt)) return false;
-      // The task of a start can be moved by a report from before the restart that arrives after this status.
-      return this.tokens.isFromEarlierTerm(status.fencingToken) || this.isHarmful(machine, start);
+      return this.mayBeForgotten(status) || this.isHarmful(machine, start);
     });
   }
 
@@ -81,6 +80,14 @@
     return this.tokens.tokenFor(machine);
   }
 
+  /**
+   * Whether the worker may have executed and forgotten all starts that the status does not show, since it shows no token of
+   * this term. Their tasks can still be moved by a report from before the restart that arrives later.
+   */
+  private mayBeForgotten(status: WorkerStatus): boolean {
+    return this.tokens.isFromEarlierTerm(status.fencingToken);
+  }
+
   private isHarmful(machine: Machine, start: DirectStart): boolean {
     return this.effectOf(start, machine, undefined) === 'harmful';
   }
@@ -99,6 +106,7 @@
       const reported = status.byAttempt.get(key);
       const isRunning = reported !== undefined && reported.state !== TaskState.exited;
       if (isRunning || start.fencingToken < token) continue;
+      if (!reported && this.mayBeForgotten(status)) return true;
       const effect = this.effectOf(start, machine, reported);
       if (effect === 'harmful') return true;
       if (effect === 'none') directStarts.remove(key);
--- a/test/unit/start-fencing.test.ts
+++ b/test/unit/start-fencing.test.ts
@@ -92,9 +92,9 @@
   }
 
   /** Returns by how much the response to a status raises the token. */
-  raisedBy(tasks: TaskStatus[]): number {
+  raisedBy(tasks: TaskStatus[], fencingToken: number = EPOCH): number {
     const before = this.tokens.tokenFor(this.machine);
-    this.fencing.fence(this.machine, statusOf(tasks));
+    this.fencing.fence(this.machine, statusOf(tasks, { fencingToken }));
     return this.tokens.tokenFor(this.machine) - before;
   }
 }
@@ -283,6 +283,17 @@
   );
 });
 
+void test('the token is raised for a worker without a token of the term, whether or not its status is the newest', () => {
+  for (const fencingToken of [0, EPOCH - 1, EPOCH]) {
+    const scene = new Scene();
+    const isRaised = fencingToken < EPOCH;
+    assert.equal(scene.raisedBy([], fencingToken), isRaised ? 1 : 0);
+    assert.equal(scene.raisedBy([], fencingToken), 0, 'raised once');
+    const known = new Scene();
+    assert.equal(known.raisedBy([known.taskStatus('running')], fencingToken), 0);
+  }
+});
+
 void test('a request raises the token if a worker that has restarted could execute a start with it', () => {
   const cases: [name: string, change: (scene: Scene) => void, isRaised: boolean][] = [
     ['the task should run there', () => undefined, false],
