Show that a copy of a start still runs a task twice on a restarted machine before its first message

After the first message to the restarted machine it does no harm any more, as the other cases of the file show, also for a task that was moved or cancelled. It can't be closed while starts are sent as direct commands, which can be repeated.

--- a/test/sim/restarted-machines.test.ts
+++ b/test/sim/restarted-machines.test.ts
@@ -189,3 +189,16 @@
     });
   }
 }
+
+void test('copies of start commands do not run a task twice on a machine that restarted and has got no message yet (seed 41)', async () => {
+  const cluster = await createClusterWithRoom(41);
+  const deliveries = new Map(
+    [...cluster.workers.keys()].map((machine) => [machine, recordStarts({ cluster, machine })]),
+  );
+  const scene = await startTasksDirectly(cluster);
+  await failAndMove(scene);
+  cluster.restartWorker(scene.machine);
+  deliveries.get(scene.machine)?.();
+  await cluster.run(30_000);
+  assert.deepEqual(cluster.violations, []);
+});
