Let the test of an ended lease restart its machine, and check that the machine is there

Read over: the case 'its lease had expired' of restarted-machines.test.ts never restarted the machine, since an edit had not applied, so it passed before the fix too and its name promised more than it checked. The machine now hangs until its lease has expired and its tasks are moved, and then restarts. All cases check that the machine is still there when copies arrive, so that none can pass without one.

--- a/test/sim/restarted-machines.test.ts
+++ b/test/sim/restarted-machines.test.ts
@@ -37,6 +37,12 @@
   };
 }
 
+/** By machine, what delivers copies of the direct starts that its worker gets from now on. */
+const recordAllStarts = (cluster: SimulatedCluster): ReadonlyMap<string, () => void> =>
+  new Map(
+    [...cluster.workers.keys()].map((machine) => [machine, recordStarts({ cluster, machine })]),
+  );
+
 async function runUntil(cluster: SimulatedCluster, condition: () => boolean): Promise<void> {
   for (let i = 0; i < MAX_STEPS && !condition(); i++) await cluster.run(STEP_MS);
   assert.ok(condition());
@@ -74,14 +80,14 @@
   await cancel(scene);
 }
 
-/** The worker's heartbeats are lost until it has restarted, and its tasks are moved once its lease has expired. */
+/** The machine hangs until its lease has expired and its tasks are moved, and then restarts. */
 async function restartAfterLease({ cluster, machine }: TaskScene): Promise<void> {
   // The cloud does not delete the silent machine.
   cluster.cloud.isUnavailable = true;
-  cluster.setHeartbeatsBlocked(machine, true);
+  cluster.setMachineHung(machine, true);
   await cluster.run(LEASE_EXPIRY_MS);
-
-  cluster.setHeartbeatsBlocked(machine, false);
+  cluster.restartWorker(machine);
+  cluster.setMachineHung(machine, false);
 }
 
 /** The report that the task has failed arrives after the first response to the restarted worker. */
@@ -170,9 +176,7 @@
       const earlier = await startTasksDirectly(cluster);
       await cancel(earlier);
       await runUntil(cluster, () => !reports(earlier, `${earlier.job}/0`));
-      const deliveries = new Map(
-        [...cluster.workers.keys()].map((machine) => [machine, recordStarts({ cluster, machine })]),
-      );
+      const deliveries = recordAllStarts(cluster);
       const scene = await startTasksDirectly(cluster, taskCount);
       assert.equal(scene.machine, earlier.machine);
       await change(scene);
@@ -180,10 +184,11 @@
       for (const timeMs of COPY_TIMES_MS) {
         await cluster.run(timeMs - elapsedMs);
         elapsedMs = timeMs;
-        const held = cluster.workers.get(scene.machine)?.worker.taskNames();
+        const worker = cluster.workers.get(scene.machine)?.worker;
+        assert.ok(worker, `the machine is there after ${timeMs} ms`);
+        const held = worker.taskNames();
         deliveries.get(scene.machine)?.();
-        const started = cluster.workers.get(scene.machine)?.worker.taskNames();
-        assert.deepEqual(started, held, `copies after ${timeMs} ms`);
+        assert.deepEqual(worker.taskNames(), held, `copies after ${timeMs} ms`);
       }
       assert.deepEqual(cluster.violations, []);
     });
@@ -192,9 +197,7 @@
 
 void test('copies of start commands do not run a task twice on a machine that restarted and has got no message yet (seed 41)', async () => {
   const cluster = await createClusterWithRoom(41);
-  const deliveries = new Map(
-    [...cluster.workers.keys()].map((machine) => [machine, recordStarts({ cluster, machine })]),
-  );
+  const deliveries = recordAllStarts(cluster);
   const scene = await startTasksDirectly(cluster);
   await failAndMove(scene);
   cluster.restartWorker(scene.machine);
