--- a/src/api/api-response.ts
+++ b/src/api/api-response.ts
@@ -18,6 +18,8 @@
   | 'storeUnavailable'
   /** The store responded so late that the state may be out of date. */
   | 'storeLate'
+  /** Another controller may still tell, or has told since, what contradicts the answer. */
+  | 'outdated'
   /** Too many other requests were waiting for a response, here or from the leader. */
   | 'overloaded'
   /** The client closed the connection before its request was handled. */
--- a/src/api/job-responses.ts
+++ b/src/api/job-responses.ts
@@ -2,13 +2,10 @@
 import type { StoredJob } from '../ledger/job-records.js';
 import { jobStatusOf, type FinalState, type Job } from '../ledger/job.js';
 import type { JobLookupResult } from '../leader/job-requests.js';
-import { ms, type DurationMs } from '../units/index.js';
+import type { DurationMs } from '../units/index.js';
 import { JobStatus, encodeJobState } from '../wire/index.js';
 import { NO_SUCH_JOB, serviceUnavailable, type ApiResponse } from './api-response.js';
 
-/** A response of the store may be out of date after this time. */
-export const STORE_RESPONSE_TTL = ms(250);
-
 /** This submission has written the job to the store. */
 export const createdResponse = (id: string): ApiResponse => ({
   status: 201,
@@ -44,9 +41,10 @@
   switch (result.kind) {
     case 'live':
       // Revision 0 is not committed yet, so the submission may still fail.
-      return result.job.revision > 0
-        ? { status: 200, body: liveBody(result.job) }
-        : serviceUnavailable('notCommitted');
+      if (result.job.revision === 0) return serviceUnavailable('notCommitted');
+      // Other controllers may already read that the job has ended.
+      if (result.job.hasTerminalWriteInFlight) return serviceUnavailable('stateUncertain');
+      return { status: 200, body: liveBody(result.job) };
     case 'final':
       return { status: 200, body: finalBody(id, result.final) };
     case 'absent':
--- a/src/api/leader-relay.ts
+++ b/src/api/leader-relay.ts
@@ -5,6 +5,7 @@
 import { ExpiringMap } from '../units/expiring-map.js';
 import {
   durationBetween,
+  ms,
   seconds,
   type Clock,
   type DurationMs,
@@ -20,6 +21,17 @@
 
 const NO_RESPONSE: LeaderResponse = { kind: 'noResponse' };
 
+/** For how long after a request was sent the response of the leader is passed on. */
+export const RELAY_TIMEOUTS: Readonly<Record<UserPeerRequest['type'], DurationMs>> = {
+  /**
+   * A controller that gets no response in time writes the record itself, if none exists. That costs more than a late
+   * response, so the timeout allows for a leader under high load.
+   */
+  submitJob: ms(1500),
+  readJob: ms(1200),
+  cancelJob: ms(1500),
+};
+
 /** The polls of a job that have not been relayed for this long are preferred. */
 const MAX_REFUSED_TIME = seconds(20);
 /** Longer than the time between two polls of a job. */
@@ -38,7 +50,7 @@
   constructor(private readonly clock: Pick<Clock, 'steady'>) {}
 
   /** Sends a request. If the leader has as many as it can answer, the response is a 503 without its being sent. */
-  async send(leader: Peer, request: UserPeerRequest, timeout: DurationMs): Promise<LeaderResponse> {
+  async send(leader: Peer, request: UserPeerRequest): Promise<LeaderResponse> {
     const sentAt = this.clock.steady();
     const permit = this.limit.acquire(sentAt, this.isPreferred(request, sentAt));
     if (!permit) {
@@ -46,8 +58,12 @@
       return { kind: 'responded', response: serviceUnavailable('overloaded') };
     }
     if (request.type === 'readJob') this.refusedSince.delete(request.job);
+    const timeout = RELAY_TIMEOUTS[request.type];
     try {
-      return toLeaderResponse(await leader.sendRequest(request, timeout));
+      const response = await leader.sendRequest(request, timeout);
+      // A process that was suspended may see the response before its timer. The read lease has ended by then.
+      const isLate = durationBetween(sentAt, this.clock.steady()) > timeout;
+      return isLate ? NO_RESPONSE : toLeaderResponse(response);
     } finally {
       this.limit.release(permit, this.clock.steady());
     }
--- a/src/api/leader-view.ts
+++ b/src/api/leader-view.ts
@@ -23,7 +23,8 @@
 
   constructor(
     private readonly election: Pick<Election, 'authority' | 'leader'>,
-    private readonly peers: ReadonlyMap<ControllerId, Peer>,
+    /** The other controllers. */
+    readonly peers: ReadonlyMap<ControllerId, Peer>,
   ) {}
 
   /** The term under whose authority this controller may respond at this moment. */
--- a/src/api/peer-request-handler.ts
+++ b/src/api/peer-request-handler.ts
@@ -13,7 +13,7 @@
 import { encode } from '../wire/index.js';
 import type { LeaderView } from './leader-view.js';
 import { CLIENT_LEFT, type ApiResponse } from './api-response.js';
-import { READ_TIMEOUT } from './job-handler.js';
+import { RELAY_TIMEOUTS } from './leader-relay.js';
 import type { RequestMetrics } from './request-metrics.js';
 import type { UserRequestHandler } from './user-request-handler.js';
 import type { WorkerHeartbeatHandler } from './worker-heartbeat-handler.js';
@@ -56,7 +56,7 @@
         events.onImageHints(request.machines);
         return { type: 'acknowledged', ok: true };
       case 'jobNotice':
-        return { type: 'acknowledged', ok: await this.loadJob(JobId(request.job)) };
+        return this.handleJobNotice(JobId(request.job));
       case 'workerHeartbeats':
         return workerHeartbeatHandler.handleRelayed(request);
       case 'sendCommands':
@@ -73,18 +73,21 @@
     const startedAt = clock.steady();
     await this.turnBudget.begin();
     const waitTime = durationBetween(startedAt, clock.steady());
-    const isAbandoned = request.type === 'readJob' && waitTime > READ_TIMEOUT;
-    const response = isAbandoned ? CLIENT_LEFT : await userRequestHandler.handleRelayed(request);
+    const isAbandoned = request.type === 'readJob' && waitTime > RELAY_TIMEOUTS.readJob;
+    const response = isAbandoned
+      ? CLIENT_LEFT
+      : await userRequestHandler.handleRelayed(request, startedAt);
     requestMetrics.record('relayed', response, durationBetween(startedAt, clock.steady()));
     return toUserResponse(response);
   }
 
-  /** Loads a job that a peer wrote to the store; false if this controller does not lead or is not ready. */
-  private async loadJob(id: JobId): Promise<boolean> {
-    const term = this.deps.leaderView.authorisedTerm();
-    if (!term?.isReady) return false;
-    await term.findJob(id);
-    return true;
+  /** A peer wrote a job to the store, which the leader then loads, or is about to tell that a job has come further. */
+  private async handleJobNotice(id: JobId): Promise<PeerResponse> {
+    const { leaderView, userRequestHandler } = this.deps;
+    userRequestHandler.revokePendingAnswers(id);
+    const term = leaderView.authorisedTerm();
+    if (term?.isReady) await term.findJob(id);
+    return { type: 'acknowledged', ok: true };
   }
 }
 
--- a/src/api/submission-handler.ts
+++ b/src/api/submission-handler.ts
@@ -4,28 +4,31 @@
  */
 import type { Logger } from 'pino';
 import type { AdmissionControl } from '../ledger/admission-control.js';
-import type { JobRecords } from '../ledger/job-records.js';
+import { STORE_READ_TTL, type JobRecords } from '../ledger/job-records.js';
 import type { SubmitOutcome } from '../leader/job-requests.js';
 import type { Term } from '../leader/term.js';
 import { runInBackground } from '../units/run-in-background.js';
-import { JobId, ms, durationBetween, type Clock, type DurationMs } from '../units/index.js';
+import {
+  JobId,
+  addDuration,
+  ms,
+  durationBetween,
+  type Clock,
+  type DurationMs,
+} from '../units/index.js';
 import {
   parseSubmission,
   decodeSubmissionId,
   type JobSpec,
   type ParseResult,
 } from '../wire/index.js';
-import type { JobHandler } from './job-handler.js';
-import { STORE_RESPONSE_TTL, busyResponse, createdResponse } from './job-responses.js';
+import { MAX_REQUEST_TIME, type JobHandler } from './job-handler.js';
+import { busyResponse, createdResponse } from './job-responses.js';
 import type { LeaderRelay } from './leader-relay.js';
 import type { LeaderView, RelayPolicy } from './leader-view.js';
+import type { PendingAnswers } from './pending-answers.js';
 import { serviceUnavailable, type ApiResponse } from './api-response.js';
 
-/**
- * A controller that gets no response in time writes the record itself, if none exists. That costs more than a
- * late response, so the timeout allows for a leader under high load.
- */
-const SUBMIT_TIMEOUT = ms(1500);
 const LEADER_NOTIFICATION_TIMEOUT = ms(1200);
 /** If the store would delay a write for longer than this, the submission is rejected at once with a 429. */
 const MAX_WRITE_WAIT = ms(1000);
@@ -35,7 +38,8 @@
   readonly admission: AdmissionControl;
   readonly leaderView: LeaderView;
   readonly jobRecords: JobRecords;
-  readonly jobHandler: Pick<JobHandler, 'read' | 'responseIfAuthorised'>;
+  readonly jobHandler: Pick<JobHandler, 'read' | 'respondFromTerm' | 'respondCreated'>;
+  readonly pendingAnswers: PendingAnswers;
   readonly leaderRelay: LeaderRelay;
   readonly clock: Clock;
   readonly log: Logger;
@@ -72,8 +76,10 @@
   async submit(body: Buffer, policy: RelayPolicy): Promise<ApiResponse> {
     const admission = this.admit(parseSubmission(body));
     if (admission.kind === 'refused') return this.refuse(body, admission.refusal, policy);
-    const outcome = await this.commit(admission, body, policy);
-    return this.respond(admission.spec.id, outcome, policy);
+    const { id } = admission.spec;
+    return this.deps.pendingAnswers.determine(id, async () =>
+      this.respond(id, await this.commit(admission, body, policy), policy),
+    );
   }
 
   private admit(parsed: ParseResult<JobSpec>): Admission {
@@ -117,7 +123,7 @@
     }
     if (route.kind === 'leader') {
       const request = { type: 'submitJob', body } as const;
-      const response = await this.deps.leaderRelay.send(route.peer, request, SUBMIT_TIMEOUT);
+      const response = await this.deps.leaderRelay.send(route.peer, request);
       if (response.kind === 'responded') return response;
     }
     return isUndecided ? UNKNOWN : this.writeRecord(spec);
@@ -135,7 +141,7 @@
         this.notifyLeader(JobId(spec.id));
         return {
           kind: 'written',
-          isLate: durationBetween(requestedAt, clock.steady()) > STORE_RESPONSE_TTL,
+          isLate: durationBetween(requestedAt, clock.steady()) > STORE_READ_TTL,
         };
       case 'exists':
       case 'unknown':
@@ -188,19 +194,22 @@
     }
   }
 
-  private respondFromTerm(term: Term, id: string, outcome: SubmitOutcome): ApiResponse {
+  private async respondFromTerm(
+    term: Term,
+    id: string,
+    outcome: SubmitOutcome,
+  ): Promise<ApiResponse> {
+    const { clock, jobHandler } = this.deps;
     switch (outcome.kind) {
       case 'created':
-        return createdResponse(id);
+        return jobHandler.respondCreated(term, id);
       case 'busy':
         return busyResponse(outcome.wait);
-      default:
-        return this.deps.jobHandler.responseIfAuthorised(
-          term,
-          id,
-          outcome,
-          serviceUnavailable('notCommitted'),
-        );
+      default: {
+        const absent = serviceUnavailable('notCommitted');
+        const usefulUntil = addDuration(clock.steady(), MAX_REQUEST_TIME);
+        return jobHandler.respondFromTerm({ term, id, result: outcome, absent, usefulUntil });
+      }
     }
   }
 }
--- a/src/api/user-request-handler.ts
+++ b/src/api/user-request-handler.ts
@@ -8,9 +8,12 @@
 import type { JobRecords } from '../ledger/job-records.js';
 import type { UserPeerRequest } from '../peer/messages.js';
 import type { Reachability } from '../peer/reachability.js';
-import { ms, type Clock } from '../units/index.js';
-import { JobHandler } from './job-handler.js';
-import { LeaderRelay } from './leader-relay.js';
+import type { Clock, SteadyMs } from '../units/index.js';
+import { jobStateIn } from '../wire/index.js';
+import { ConfirmationGate } from './confirmation-gate.js';
+import { JobHandler, MAX_REQUEST_TIME } from './job-handler.js';
+import { JobPhase, phaseOf } from './job-phase.js';
+import { LeaderRelay, RELAY_TIMEOUTS } from './leader-relay.js';
 import type { LeaderView, RelayPolicy } from './leader-view.js';
 import {
   CONTROLLER_ISOLATED,
@@ -19,12 +22,11 @@
   serviceUnavailable,
   type ApiResponse,
 } from './api-response.js';
+import { PendingAnswers } from './pending-answers.js';
+import { ReadLeases } from './read-leases.js';
 import { SubmissionHandler } from './submission-handler.js';
 import { UnansweredJobs } from './unanswered-jobs.js';
 
-/** A user's request that takes longer than this gets its final response, a 503. */
-const MAX_REQUEST_TIME = ms(2500);
-
 const JOBS_PATH = '/v1/jobs';
 const JOB_PATH = /^\/v1\/jobs\/([^/]+)$/;
 const CANCEL_PATH = /^\/v1\/jobs\/([^/]+)\/abort$/;
@@ -44,17 +46,24 @@
 export class UserRequestHandler {
   private readonly jobHandler: JobHandler;
   private readonly submissionHandler: SubmissionHandler;
+  private readonly pendingAnswers = new PendingAnswers();
+  private readonly readLeases = new ReadLeases();
   /** The jobs whose polls this controller refuses, direct and relayed ones. */
   readonly unansweredJobs: UnansweredJobs;
 
   constructor(private readonly deps: UserRequestDependencies) {
-    const leaderRelay = new LeaderRelay(deps.clock);
-    this.jobHandler = new JobHandler(deps.leaderView, deps.jobRecords, leaderRelay, deps.clock);
+    const { pendingAnswers, readLeases } = this;
+    const { clock, leaderView } = deps;
+    const { peers } = leaderView;
+    const leaderRelay = new LeaderRelay(clock);
+    const gate = new ConfirmationGate({ clock, peers, readLeases, pendingAnswers });
+    this.jobHandler = new JobHandler({ ...deps, leaderRelay, gate, pendingAnswers });
     this.unansweredJobs = new UnansweredJobs(deps.clock, deps.log);
     this.submissionHandler = new SubmissionHandler({
       ...deps,
       jobHandler: this.jobHandler,
       leaderRelay,
+      pendingAnswers,
     });
   }
 
@@ -87,10 +96,24 @@
   }
 
   /**
-   * Handles a request that a peer relayed, but only while this controller leads: relaying it again could
-   * send it round in a loop.
+   * Handles a request that a peer relayed and that arrived at `receivedAt`, but only while this controller leads: relaying
+   * it again could send it round in a loop. Grants the peer a read lease on the answer.
    */
-  async handleRelayed(request: UserPeerRequest): Promise<ApiResponse> {
+  async handleRelayed(request: UserPeerRequest, receivedAt: SteadyMs): Promise<ApiResponse> {
+    const response = await this.dispatchRelayed(request);
+    const phase = phaseOf(response);
+    const job = request.type === 'submitJob' ? jobStateIn(response.body)?.id : request.job;
+    if (phase !== undefined && job !== undefined)
+      this.readLeases.grant(job, phase, receivedAt, RELAY_TIMEOUTS[request.type]);
+    return response;
+  }
+
+  /** Gives up the read leases on a job: what this controller is about to tell about it may be outdated. */
+  revokePendingAnswers(job: string): void {
+    this.pendingAnswers.revokeBefore(JobPhase.ended, job);
+  }
+
+  private async dispatchRelayed(request: UserPeerRequest): Promise<ApiResponse> {
     if (!this.deps.leaderView.authorisedTerm()?.isReady) return serviceUnavailable('notReady');
     switch (request.type) {
       case 'submitJob':
--- a/src/leader/job-requests.ts
+++ b/src/leader/job-requests.ts
@@ -1,8 +1,9 @@
 /** Handles users' requests to submit, read and cancel jobs, as the leader of one epoch. */
-import type { JobRecords } from '../ledger/job-records.js';
-import { Job, WritePriority, type FinalState } from '../ledger/job.js';
+import type { KnownFinalState } from '../ledger/final-state-cache.js';
+import type { JobRecords, StoredJob } from '../ledger/job-records.js';
+import { Job, WritePriority } from '../ledger/job.js';
 import type { Ledger } from '../ledger/ledger.js';
-import { JobId, Revision, ms, type Clock, type DurationMs } from '../units/index.js';
+import { JobId, Revision, ms, type Clock, type DurationMs, type SteadyMs } from '../units/index.js';
 import type { JobSpec } from '../wire/index.js';
 import type { DirectCommandSender } from './direct-command-sender.js';
 import type { PlacementIndex } from './placement-index.js';
@@ -17,7 +18,7 @@
   /** The job has not finished. While its revision is 0, it is not committed yet. */
   | { readonly kind: 'live'; readonly job: Job }
   /** The job has finished. This is permanent. */
-  | { readonly kind: 'final'; readonly final: FinalState };
+  | ({ readonly kind: 'final' } & KnownFinalState);
 
 /** The result of looking up a job. */
 export type JobLookupResult =
@@ -50,8 +51,11 @@
 /** Submits, finds and cancels jobs under one epoch. */
 export class JobRequests {
   private isClosed = false;
+  private readonly startedAt: SteadyMs;
 
-  constructor(private readonly deps: JobRequestDependencies) {}
+  constructor(private readonly deps: JobRequestDependencies) {
+    this.startedAt = deps.clock.steady();
+  }
 
   /** Ends lookups in the store: from now on, jobs that are not in memory are unknown. */
   close(): void {
@@ -95,18 +99,33 @@
 
   /** Looks up the job in memory, and in the store if it is not in memory. */
   async find(id: JobId): Promise<JobLookupResult> {
-    const known = await this.findLatestInMemory(id);
-    if (known) return known.kind === 'live' && known.job.revision === 0 ? UNKNOWN_JOB : known;
+    const known = await this.findCommittedInMemory(id);
+    if (known) return known;
     const stored = await this.deps.jobRecords.lookUp(id);
     if (this.isClosed) return UNKNOWN_JOB;
+    return this.adoptStored(id, stored);
+  }
+
+  /** Looks up the job in memory; undefined if it is not there, unknown while its creation is not committed. */
+  private async findCommittedInMemory(id: JobId): Promise<JobLookupResult | undefined> {
+    const known = await this.findLatestInMemory(id);
+    return known?.kind === 'live' && known.job.revision === 0 ? UNKNOWN_JOB : known;
+  }
+
+  /** The result for a job that was looked up in the store, since it was not in memory. */
+  private adoptStored(id: JobId, stored: StoredJob): JobLookupResult {
+    const { ledger } = this.deps;
     switch (stored.kind) {
       case 'live':
         // Another controller wrote the job while it could not reach the leader.
         if (!this.findInMemory(id)) this.addStoredJob(stored.job);
         return this.findInMemory(id) ?? UNKNOWN_JOB;
-      case 'final':
-        this.deps.ledger.cacheFinalState(id, stored.final);
-        return stored;
+      case 'final': {
+        // Only this term finishes jobs since it began, and keeps those in memory for long.
+        const adopted = { final: stored.final, storedBy: this.startedAt };
+        ledger.cacheFinalState(id, adopted);
+        return { kind: 'final', ...adopted };
+      }
       case 'absent':
       case 'unknown':
         return stored;
@@ -145,8 +164,8 @@
   private findInMemory(id: JobId): KnownJob | undefined {
     const job = this.deps.ledger.jobs.get(id);
     if (job) return { kind: 'live', job };
-    const final = this.deps.ledger.finalState(id);
-    return final ? { kind: 'final', final } : undefined;
+    const known = this.deps.ledger.knownFinalState(id);
+    return known && { kind: 'final', ...known };
   }
 
   /**
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -39,6 +39,8 @@
 
 /** Leads under one epoch. `start` is called once; `close` ends all work of the term. */
 export class Term {
+  /** When this controller had learned that it holds the leader key. */
+  readonly startedAt: SteadyMs;
   private readonly ledger: Ledger;
   private readonly fencingTokens: FencingTokens;
   private readonly clearance: AttemptClearance;
@@ -64,6 +66,7 @@
   ) {
     const { clock, jobRecords, log } = deps;
     const startedAt = clock.steady();
+    this.startedAt = startedAt;
     this.jobRecovery = new JobRecovery(deps, (job) => this.jobRequests.addStoredJob(job));
     this.ledger = this.createLedger();
     this.fencingTokens = new FencingTokens(epoch, this.ledger);
--- a/src/ledger/job-records.ts
+++ b/src/ledger/job-records.ts
@@ -7,9 +7,9 @@
 import { Epoch, JobId, Revision, ms, type Clock, type DurationMs } from '../units/index.js';
 import type { StoreCondition, JobSpec, StoreWrite } from '../wire/index.js';
 import { decodeFinal, encodeFinal } from './final-record.js';
-import { FinalStateCache } from './final-state-cache.js';
+import { FinalStateCache, type KnownFinalState } from './final-state-cache.js';
 import { decodeJob } from './job-codec.js';
-import { Job, type FinalState } from './job.js';
+import { Job } from './job.js';
 import type { RecordLimits } from './record-limits.js';
 import {
   LEADER_KEY,
@@ -34,12 +34,15 @@
 /** The result of looking up a job in the store. */
 export type StoredJob =
   | { kind: 'live'; job: Job }
-  | { kind: 'final'; final: FinalState }
+  | ({ kind: 'final' } & KnownFinalState)
   /** The store has no record of the job. */
   | { kind: 'absent' }
   /** The store could not be read, or a write got no response. */
   | { kind: 'unknown' };
 
+/** For how long after a read was requested its result may be told to users: the job may have changed since. */
+export const STORE_READ_TTL = ms(250);
+
 /** A message to the leader, left in the store by a controller that could not reach it. */
 export interface InboxEntry extends InboxEntryContents {
   readonly key: string;
@@ -68,7 +71,7 @@
    */
   async lookUp(id: JobId): Promise<StoredJob> {
     const cached = this.finalStates.get(id);
-    if (cached) return { kind: 'final', final: cached };
+    if (cached) return { kind: 'final', ...cached };
     const live = await this.store.get(liveKey(id), STORE_TIMEOUT, USER_REQUEST_OPTIONS);
     if (live.kind === 'failed') return { kind: 'unknown' };
     if (live.kind === 'found') {
@@ -78,9 +81,9 @@
     const stored = await this.store.get(finalKey(id), STORE_TIMEOUT, USER_REQUEST_OPTIONS);
     if (stored.kind === 'failed') return { kind: 'unknown' };
     if (stored.kind === 'absent') return { kind: 'absent' };
-    const final = decodeFinal(stored.data);
-    this.finalStates.set(id, final);
-    return { kind: 'final', final };
+    const known = { final: decodeFinal(stored.data), storedBy: this.clock.steady() };
+    this.finalStates.set(id, known);
+    return { kind: 'final', ...known };
   }
 
   /** How long a creation would be queued for the store. */
@@ -133,7 +136,10 @@
         ]);
     if (result.kind === 'tooLarge') this.limits.onSizeRefusal();
     if (result.kind !== 'committed') return { kind: 'unknown' };
-    return job.isFinished ? { kind: 'final', final: job.finalState() } : found;
+    if (!job.isFinished) return found;
+    const known = { final: job.finalState(), storedBy: this.clock.steady() };
+    this.finalStates.set(id, known);
+    return { kind: 'final', ...known };
   }
 
   /** Writes an inbox entry that requests the cancellation from the unreachable leader; false if the write failed. */
--- a/src/ledger/job-table.ts
+++ b/src/ledger/job-table.ts
@@ -1,7 +1,7 @@
 /** The jobs that a leader has in memory: all live ones, and the final states of those that finished recently. */
 import type { JobId } from '../units/index.js';
-import { FinalStateCache } from './final-state-cache.js';
-import type { FinalState, Job } from './job.js';
+import { FinalStateCache, type KnownFinalState } from './final-state-cache.js';
+import type { Job } from './job.js';
 
 /** When the table is full, the oldest final states are discarded and read from the store again if needed. */
 const MAX_CACHED_FINAL_STATES = 4000;
@@ -23,8 +23,8 @@
   }
 
   /** Removes a finished job from the live jobs and keeps its final state. */
-  finish(job: Job, final: FinalState): void {
-    this.finalStates.set(job.id, final);
+  finish(job: Job, known: KnownFinalState): void {
+    this.finalStates.set(job.id, known);
     this.remove(job);
   }
 }
--- a/src/ledger/ledger.ts
+++ b/src/ledger/ledger.ts
@@ -16,6 +16,7 @@
 import { CommitLoop } from './commit-loop.js';
 import { CommitQueue } from './commit-queue.js';
 import { CommitWaiters } from './commit-waiters.js';
+import type { KnownFinalState } from './final-state-cache.js';
 import { JobTable } from './job-table.js';
 import type { FinalState, Job } from './job.js';
 import type { LedgerEvents } from './ledger-events.js';
@@ -94,12 +95,17 @@
 
   /** The final state of a recently finished job; undefined if it is not in memory. */
   finalState(id: JobId): FinalState | undefined {
+    return this.knownFinalState(id)?.final;
+  }
+
+  /** The same, with a time by which the final record was in the store. */
+  knownFinalState(id: JobId): KnownFinalState | undefined {
     return this.table.finalStates.get(id);
   }
 
   /** Caches a final state that was read from the store. */
-  cacheFinalState(id: JobId, final: FinalState): void {
-    this.table.finalStates.set(id, final);
+  cacheFinalState(id: JobId, known: KnownFinalState): void {
+    this.table.finalStates.set(id, known);
   }
 
   /**
--- a/src/ledger/write-outcome-handler.ts
+++ b/src/ledger/write-outcome-handler.ts
@@ -46,9 +46,9 @@
   }
 
   private finish(job: Job, finalState: FinalState): void {
-    const { table, queue, waiters, events } = this.options;
+    const { table, queue, waiters, events, clock } = this.options;
     queue.forget(job);
-    table.finish(job, finalState);
+    table.finish(job, { final: finalState, storedBy: clock.steady() });
     waiters.resolveAll(job.id, true);
     events.onFinished(job, finalState);
   }
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -77,6 +77,16 @@
   readonly commands: readonly Command[];
 }
 
+/**
+ * A job has changed: a follower wrote it to the store, so that the leader loads it; or the leader is about to tell a user
+ * that it has come further. The receiver no longer tells what it had asked about the job before, and responds with `ok`.
+ * The version before ignores the notice and responds without `ok`, unless it leads.
+ */
+export interface JobNotice {
+  readonly type: 'jobNotice';
+  readonly job: string;
+}
+
 /** A user's request that a follower relays to the leader. */
 export type UserPeerRequest =
   | { readonly type: 'submitJob'; readonly body: Buffer }
@@ -87,7 +97,7 @@
 export type PeerRequest =
   | { readonly type: 'peerHeartbeat'; readonly status: PeerStatus }
   | { readonly type: 'imageHints'; readonly machines: readonly MachineImages[] }
-  | { readonly type: 'jobNotice'; readonly job: string }
+  | JobNotice
   | UserPeerRequest
   | WorkerHeartbeatsRequest
   | SendCommandsRequest;
--- a/src/units/index.ts
+++ b/src/units/index.ts
@@ -50,6 +50,8 @@
 /** The duration from one time to another; negative if `to` is the earlier one. */
 export const durationBetween = (from: SteadyMs, to: SteadyMs): DurationMs =>
   (to - from) as DurationMs;
+/** The latest of some times. */
+export const latest = (...times: SteadyMs[]): SteadyMs => SteadyMs(Math.max(...times));
 
 /** The key of a task. */
 export const taskKey = (job: JobId, index: number): TaskKey => `${job}/${index}` as TaskKey;
--- a/src/wire/codec.ts
+++ b/src/wire/codec.ts
@@ -41,6 +41,15 @@
 /** Decodes one CBOR item, with maps as plain objects. Throws if the bytes are not exactly one item. */
 export const decode = (bytes: Uint8Array): unknown => cbor.decode(bytes);
 
+/** Decodes one CBOR item; undefined if the bytes are not exactly one item. */
+export function decodeOrUndefined(bytes: Uint8Array): unknown {
+  try {
+    return decode(bytes);
+  } catch {
+    return undefined;
+  }
+}
+
 /** Whether a decoded value is a map. */
 export function isMap(value: unknown): value is Record<string, unknown> {
   return (
--- a/src/wire/user.ts
+++ b/src/wire/user.ts
@@ -1,6 +1,6 @@
 /** Messages between users and controllers: submissions, job states and cancellations. */
 import * as z from 'zod';
-import { decode, isMap, MAX_BODY_BYTES } from './codec.js';
+import { decode, decodeOrUndefined, isMap, MAX_BODY_BYTES } from './codec.js';
 
 /** The pattern of job ids. */
 export const JOB_ID_PATTERN = /^run-\d{6,20}$/;
@@ -198,6 +198,17 @@
   ...(reason === undefined ? {} : { cause: reason }),
 });
 
+const JOB_STATUSES: ReadonlySet<unknown> = new Set(Object.values(JobStatus));
+const isJobStatus = (value: unknown): value is JobStatus => JOB_STATUSES.has(value);
+
+/** The id and status in an encoded job state, as a map or as CBOR; undefined if `body` is something else. */
+export function jobStateIn(body: unknown): Pick<JobState, 'id' | 'status'> | undefined {
+  const value = Buffer.isBuffer(body) ? decodeOrUndefined(body) : body;
+  if (!isMap(value)) return undefined;
+  const { name_id: id, status } = value;
+  return typeof id === 'string' && isJobStatus(status) ? { id, status } : undefined;
+}
+
 /** The result of parsing; `reason` is one line. */
 export type ParseResult<T> =
   { readonly ok: true; readonly value: T } | { readonly ok: false; readonly reason: string };
@@ -208,14 +219,10 @@
  */
 export function decodeSubmissionId(body: Uint8Array): string | undefined {
   if (body.length > MAX_BODY_BYTES) return undefined;
-  try {
-    const value = decode(body);
-    if (!isMap(value)) return undefined;
-    const id = value.name_id;
-    return typeof id === 'string' && JOB_ID_PATTERN.test(id) ? id : undefined;
-  } catch {
-    return undefined;
-  }
+  const value = decodeOrUndefined(body);
+  if (!isMap(value)) return undefined;
+  const id = value.name_id;
+  return typeof id === 'string' && JOB_ID_PATTERN.test(id) ? id : undefined;
 }
 
 /** Parses and validates the body of a submission; `reason` names the invalid field. */
--- a/test/standin/network.ts
+++ b/test/standin/network.ts
@@ -88,6 +88,8 @@
   duplicateDelivery: ((path: string, to: string) => DuplicateDelivery | undefined) | undefined;
   /** Returns the extra delay of a request to an address, and of its response. */
   extraDelayMs: ((to: string) => number) | undefined;
+  /** Returns the extra delay of a response from an address, `to`, to the host that sent the request. */
+  extraResponseDelayMs: ((from: string, to: string) => number) | undefined;
   /**
    * Returns the delay of a request that arrives late, after newer ones, and gets no response; undefined for a
    * request that is delivered normally.
@@ -257,7 +259,10 @@
 
   private sendResponse(inFlight: InFlightRequest, { status, body }: HostResponse): void {
     const receivedBody = serializedCopy(body);
-    const delay = 1 + this.random() * 4 + (this.extraDelayMs?.(inFlight.to) ?? 0);
+    const { from, to } = inFlight;
+    const extraDelay =
+      (this.extraDelayMs?.(to) ?? 0) + (this.extraResponseDelayMs?.(from, to) ?? 0);
+    const delay = 1 + this.random() * 4 + extraDelay;
     this.time.after(delay, () => {
       // A partition blocks responses too: the sender times out long before the partition heals.
       if (this.isBlocked(inFlight.from, inFlight.fromZone, inFlight.to)) return;
--- a/test/support/leader-request-handlers.ts
+++ b/test/support/leader-request-handlers.ts
@@ -13,7 +13,7 @@
 import type { Peer } from '../../src/peer/peer.js';
 import type { Reachability } from '../../src/peer/reachability.js';
 import { HeartbeatRelay } from '../../src/relay/heartbeat-relay.js';
-import { Epoch, JobId, ControllerId } from '../../src/units/index.js';
+import { Epoch, JobId, ControllerId, SteadyMs } from '../../src/units/index.js';
 import { ProcessClock, VirtualTime } from '../standin/clock.js';
 import { machineTypes } from '../standin/machine-types.js';
 import { settingsFile } from './settings-file.js';
@@ -39,6 +39,7 @@
   const term = {
     epoch,
     highestFencingToken: EPOCH,
+    startedAt: SteadyMs(-10_000),
     isClosed: false,
     isReady: true,
     isRedirectingWorkers: false,
--- a/test/unit/commit-queue.test.ts
+++ b/test/unit/commit-queue.test.ts
@@ -112,9 +112,10 @@
   const cache = new FinalStateCache(2);
   const ids = ['run-000001', 'run-000002', 'run-000003'].map(JobId);
   const final = new Job(ids[0]!, jobSpec({}), WallMs(0), Revision(1)).finalState();
-  for (const id of [ids[0]!, ids[1]!, ids[0]!, ids[2]!]) cache.set(id, final);
+  for (const id of [ids[0]!, ids[1]!, ids[0]!, ids[2]!])
+    cache.set(id, { final, storedBy: SteadyMs(0) });
   assert.deepEqual(
-    ids.map((id) => cache.get(id)),
+    ids.map((id) => cache.get(id)?.final),
     [final, undefined, final],
   );
 });
--- a/test/unit/job-requests.test.ts
+++ b/test/unit/job-requests.test.ts
@@ -48,7 +48,7 @@
     jobs,
     insert: (job: Job) => jobs.set(job.id, job),
     admissionWait: () => 0,
-    finalState: () => undefined,
+    knownFinalState: () => undefined,
     whenCommitted: () => Promise.resolve(true),
   } as unknown as Ledger;
   const placements = { ledger, fleet: { machines: new Map() } } as unknown as PlacementIndex;
--- a/test/unit/user-request-handler.test.ts
+++ b/test/unit/user-request-handler.test.ts
@@ -12,7 +12,7 @@
 import { Job, type FinalState } from '../../src/ledger/job.js';
 import type { JobLookupResult } from '../../src/leader/job-requests.js';
 import type { Reachability } from '../../src/peer/reachability.js';
-import { ControllerId, Revision, WallMs, ms, sleep } from '../../src/units/index.js';
+import { ControllerId, Revision, SteadyMs, WallMs, ms, sleep } from '../../src/units/index.js';
 import { encode, encodeJobSpec, parseSubmission, type JobSpec } from '../../src/wire/index.js';
 import { machineTypes } from '../standin/machine-types.js';
 import { JOB_ID, createLeaderRequestHandlers } from '../support/leader-request-handlers.js';
@@ -150,7 +150,12 @@
     ['a live job, read late: it may have been cancelled since', { kind: 'live', job }, 400, 503],
     ['no job, read in time', { kind: 'absent' }, 100, 404],
     ['no job, read late: it may have been accepted since', { kind: 'absent' }, 400, 503],
-    ['a finished job, read late: its state is final', { kind: 'final', final }, 400, 200],
+    [
+      'a finished job, read late: its state is final',
+      { kind: 'final', final, storedBy: SteadyMs(-10_000) },
+      400,
+      200,
+    ],
   ];
   for (const [name, stored, readMs, status] of cases) {
     const follower = createLeaderRequestHandlers({ kind: 'absent' });
