--- a/src/leader/job-requests.ts
+++ b/src/leader/job-requests.ts
@@ -1,9 +1,17 @@
 /** Handles users' requests to submit, read and cancel jobs, as the leader of one epoch. */
 import type { KnownFinalState } from '../ledger/final-state-cache.js';
-import type { JobRecords, StoredJob } from '../ledger/job-records.js';
+import { STORE_READ_TTL, type JobRecords, type StoredJob } from '../ledger/job-records.js';
 import { Job, WritePriority } from '../ledger/job.js';
 import type { Ledger } from '../ledger/ledger.js';
-import { JobId, Revision, ms, type Clock, type DurationMs, type SteadyMs } from '../units/index.js';
+import {
+  JobId,
+  Revision,
+  durationBetween,
+  ms,
+  type Clock,
+  type DurationMs,
+  type SteadyMs,
+} from '../units/index.js';
 import type { JobSpec } from '../wire/index.js';
 import type { DirectCommandSender } from './direct-command-sender.js';
 import type { PlacementIndex } from './placement-index.js';
@@ -101,9 +109,11 @@
   async find(id: JobId): Promise<JobLookupResult> {
     const known = await this.findCommittedInMemory(id);
     if (known) return known;
+    const requestedAt = this.deps.clock.steady();
     const stored = await this.deps.jobRecords.lookUp(id);
     if (this.isClosed) return UNKNOWN_JOB;
-    return this.adoptStored(id, stored);
+    // The job may have been submitted here while it was looked up.
+    return (await this.findCommittedInMemory(id)) ?? this.adoptStored(id, stored, requestedAt);
   }
 
   /** Looks up the job in memory; undefined if it is not there, unknown while its creation is not committed. */
@@ -113,20 +123,24 @@
   }
 
   /** The result for a job that was looked up in the store, since it was not in memory. */
-  private adoptStored(id: JobId, stored: StoredJob): JobLookupResult {
-    const { ledger } = this.deps;
+  private adoptStored(id: JobId, stored: StoredJob, requestedAt: SteadyMs): JobLookupResult {
+    const { clock, ledger } = this.deps;
     switch (stored.kind) {
       case 'live':
         // Another controller wrote the job while it could not reach the leader.
-        if (!this.findInMemory(id)) this.addStoredJob(stored.job);
-        return this.findInMemory(id) ?? UNKNOWN_JOB;
+        this.addStoredJob(stored.job);
+        return { kind: 'live', job: stored.job };
       case 'final': {
         // Only this term finishes jobs since it began, and keeps those in memory for long.
         const adopted = { final: stored.final, storedBy: this.startedAt };
         ledger.cacheFinalState(id, adopted);
         return { kind: 'final', ...adopted };
       }
-      case 'absent':
+      case 'absent': {
+        // Another controller may have accepted the job while a late response was in transit.
+        const isLate = durationBetween(requestedAt, clock.steady()) > STORE_READ_TTL;
+        return isLate ? UNKNOWN_JOB : stored;
+      }
       case 'unknown':
         return stored;
     }
--- a/test/unit/job-requests.test.ts
+++ b/test/unit/job-requests.test.ts
@@ -6,13 +6,13 @@
 import { test } from 'node:test';
 import { pino } from 'pino';
 import type { Ledger } from '../../src/ledger/ledger.js';
-import type { Job } from '../../src/ledger/job.js';
+import { Job } from '../../src/ledger/job.js';
 import type { PlacementIndex } from '../../src/leader/placement-index.js';
-import { JobRequests } from '../../src/leader/job-requests.js';
+import { JobRequests, type JobRequestDependencies } from '../../src/leader/job-requests.js';
 import { Scheduler } from '../../src/leader/scheduler.js';
 import type { TermDependencies } from '../../src/leader/term-dependencies.js';
-import { Epoch, SteadyMs, WallMs, type JobId } from '../../src/units/index.js';
-import { VirtualTime } from '../standin/clock.js';
+import { Epoch, JobId, Revision, SteadyMs, WallMs, ms, sleep } from '../../src/units/index.js';
+import { ProcessClock, VirtualTime } from '../standin/clock.js';
 import { jobSpec } from '../support/job-spec.js';
 
 /** The share of its time that a leader may spend on placement, as the design states it. */
@@ -68,3 +68,41 @@
   const allowedMs = MAX_PLACEMENT_TIME_SHARE * (elapsedMs() + BURST_MS) + ROUND_MS;
   assert.ok(jobs.spentMs > 0 && jobs.spentMs <= allowedMs, `${jobs.spentMs} of ${allowedMs} ms`);
 });
+
+/** Job requests of a leader that has no job in memory and looks jobs up in a store that responds as the test says. */
+function createRequestsWithStore(lookUp: JobRequestDependencies['jobRecords']['lookUp']) {
+  const time = new VirtualTime();
+  const clock = new ProcessClock(time, 0, 0);
+  const jobs = new Map<JobId, Job>();
+  const ledger = { jobs, knownFinalState: () => undefined } as unknown as Ledger;
+  const requests = new JobRequests({
+    ledger,
+    jobRecords: { lookUp },
+    clock,
+  } as unknown as JobRequestDependencies);
+  return { time, clock, jobs, requests };
+}
+
+void test('a leader calls a job absent only if no controller can have accepted it while the store was asked', async () => {
+  const job = new Job(JobId('run-000001'), jobSpec({}), WallMs(0), Revision(5));
+  const uncommitted = new Job(job.id, job.spec, WallMs(0), Revision(0));
+  const cases: [name: string, readMs: number, submitted: Job | undefined, kind: string][] = [
+    ['read in time', 100, undefined, 'absent'],
+    ['read late: another controller may have written it', 400, undefined, 'unknown'],
+    ['submitted to the leader meanwhile', 100, job, 'live'],
+    ['submitted to the leader meanwhile, and not committed', 100, uncommitted, 'unknown'],
+  ];
+  for (const [name, readMs, submitted, kind] of cases) {
+    const scene = createRequestsWithStore(async () => {
+      await sleep(scene.clock, ms(readMs));
+      return { kind: 'absent' };
+    });
+    const kinds: string[] = [];
+    scene.time.after(0, () => {
+      void scene.requests.find(job.id).then((result) => kinds.push(result.kind));
+    });
+    if (submitted) scene.time.after(readMs / 2, () => scene.jobs.set(job.id, submitted));
+    await scene.time.run(1000);
+    assert.deepEqual(kinds, [kind], name);
+  }
+});
