--- a/src/api/api-response.ts
+++ b/src/api/api-response.ts
@@ -18,7 +18,7 @@
   | 'storeUnavailable'
   /** The store responded so late that the state may be out of date. */
   | 'storeLate'
-  /** Another controller may still tell, or has told since, what contradicts the answer. */
+  /** Another controller has told what contradicts the answer since that was determined. */
   | 'outdated'
   /** Too many other requests were waiting for a response, here or from the leader. */
   | 'overloaded'
--- a/src/api/job-handler.ts
+++ b/src/api/job-handler.ts
@@ -1,56 +1,46 @@
 /** Reads and cancellations of a job: handled by the leader, or from the store if no leader is reachable. */
+import { JobPhase } from '../ledger/job-phase.js';
 import { STORE_READ_TTL, type JobRecords, type StoredJob } from '../ledger/job-records.js';
 import type { JobLookupResult } from '../leader/job-requests.js';
+import { MAX_READ_LEASE, STORE_READ_LEASE } from '../leader/read-leases.js';
 import type { Term } from '../leader/term.js';
 import {
   JobId,
   addDuration,
   durationBetween,
-  latest,
   ms,
   sleep,
   type Clock,
+  type DurationMs,
   type SteadyMs,
 } from '../units/index.js';
 import { JOB_ID_PATTERN } from '../wire/index.js';
-import type { ConfirmationGate } from './confirmation-gate.js';
-import { JobPhase, phaseOf } from './job-phase.js';
-import { createdResponse, leaderJobResponse, storedJobResponse } from './job-responses.js';
+import { phaseOf } from './job-phase.js';
+import { leaderJobResponse, storedJobResponse } from './job-responses.js';
 import type { LeaderRelay } from './leader-relay.js';
 import type { LeaderView, RelayPolicy } from './leader-view.js';
 import type { PendingAnswers } from './pending-answers.js';
-import { MAX_READ_LEASE, STORE_READ_LEASE } from './read-leases.js';
 import { NO_SUCH_JOB, serviceUnavailable, type ApiResponse } from './api-response.js';
 
 /** How long, and at which interval, the store is polled for the result of a cancellation requested through it. */
 const CANCEL_WATCH_TIME = ms(1500);
 const CANCEL_POLL_INTERVAL = ms(300);
-/** How long a user waits for the answer to a poll. */
-const POLL_PATIENCE = ms(2000);
-/** A user's request that takes longer than this gets its final response, a 503. */
-export const MAX_REQUEST_TIME = ms(2500);
-/** A relayed poll whose answer has to be held back for longer is refused: slow responses count as a sign of overload. */
-const MAX_RELAYED_POLL_WAIT = STORE_READ_LEASE;
 
 /** The parts of the controller that reading and cancelling jobs depends on. */
 export interface JobHandlerDependencies {
   readonly leaderView: LeaderView;
   readonly jobRecords: JobRecords;
   readonly leaderRelay: LeaderRelay;
-  readonly gate: ConfirmationGate;
   readonly pendingAnswers: PendingAnswers;
   readonly clock: Clock;
 }
 
-/** What this controller's term knows of a job that a user asks about. */
-export interface TermAnswer {
-  readonly term: Term;
-  readonly id: string;
-  readonly result: JobLookupResult;
-  /** The response if the job does not exist. */
-  readonly absent: ApiResponse;
-  /** After this time the answer is of no use. */
-  readonly usefulUntil: SteadyMs;
+/** A result of looking a job up in the store. */
+interface StoreAnswer {
+  readonly stored: StoredJob;
+  readonly requestedAt: SteadyMs;
+  /** For how long after a job has ended in the store other controllers may tell that it has not. */
+  readonly earlierAnswersFor: DurationMs;
 }
 
 /** Reads and cancels existing jobs. */
@@ -60,86 +50,66 @@
   /** Returns the state of a job, or a 503 if the state is not certain. */
   async read(id: string, policy: RelayPolicy): Promise<ApiResponse> {
     if (!JOB_ID_PATTERN.test(id)) return NO_SUCH_JOB;
-    const usefulUntil = addDuration(this.deps.clock.steady(), POLL_PATIENCE);
-    return this.deps.pendingAnswers.determine(id, () => this.determine(id, policy, usefulUntil));
+    return this.deps.pendingAnswers.determine(id, () => this.determine(id, policy));
   }
 
-  private async determine(
-    id: string,
-    policy: RelayPolicy,
-    pollUsefulUntil: SteadyMs,
-  ): Promise<ApiResponse> {
-    const { clock, leaderRelay, leaderView } = this.deps;
+  private async determine(id: string, policy: RelayPolicy): Promise<ApiResponse> {
+    const { leaderRelay, leaderView } = this.deps;
     const route = leaderView.routeFor(policy);
     if (route.kind === 'term') {
       const { term } = route;
-      const result = await term.findJob(JobId(id));
-      const isRelayed = policy === 'handleLocally';
-      const usefulUntil = isRelayed
-        ? addDuration(clock.steady(), MAX_RELAYED_POLL_WAIT)
-        : pollUsefulUntil;
-      return this.respondFromTerm({ term, id, result, absent: NO_SUCH_JOB, usefulUntil });
+      return this.respondFromTerm(term, id, await term.findJob(JobId(id)), NO_SUCH_JOB);
     }
     if (route.kind === 'leader') {
       const response = await leaderRelay.send(route.peer, { type: 'readJob', job: id });
       if (response.kind === 'responded') return response.response;
     }
-    return this.readFromStore(id, pollUsefulUntil);
+    return this.readFromStore(id);
   }
 
-  private async readFromStore(id: string, usefulUntil: SteadyMs): Promise<ApiResponse> {
-    const requestedAt = this.deps.clock.steady();
-    const stored = await this.deps.jobRecords.lookUp(JobId(id));
-    return this.respondFromStore(id, stored, requestedAt, usefulUntil);
+  private async readFromStore(id: string): Promise<ApiResponse> {
+    const { clock, jobRecords } = this.deps;
+    const requestedAt = clock.steady();
+    const stored = await jobRecords.lookUp(JobId(id));
+    return this.respondFromStore(id, { stored, requestedAt, earlierAnswersFor: STORE_READ_LEASE });
   }
 
   /** Cancels a job and returns its state once that is committed, or a 503 if the outcome is unknown. */
   async cancel(id: string, policy: RelayPolicy): Promise<ApiResponse> {
     if (!JOB_ID_PATTERN.test(id)) return NO_SUCH_JOB;
-    const usefulUntil = addDuration(this.deps.clock.steady(), MAX_REQUEST_TIME);
-    return this.deps.pendingAnswers.determine(id, () =>
-      this.requestCancellation(id, policy, usefulUntil),
-    );
+    return this.deps.pendingAnswers.determine(id, () => this.requestCancellation(id, policy));
   }
 
-  private async requestCancellation(
-    id: string,
-    policy: RelayPolicy,
-    usefulUntil: SteadyMs,
-  ): Promise<ApiResponse> {
+  private async requestCancellation(id: string, policy: RelayPolicy): Promise<ApiResponse> {
     const { leaderRelay, leaderView } = this.deps;
     const route = leaderView.routeFor(policy);
     if (route.kind === 'term') {
       const { term } = route;
-      const result = await term.cancelJob(JobId(id));
-      return this.respondFromTerm({ term, id, result, absent: NO_SUCH_JOB, usefulUntil });
+      return this.respondFromTerm(term, id, await term.cancelJob(JobId(id)), NO_SUCH_JOB);
     }
     if (route.kind === 'leader') {
       const response = await leaderRelay.send(route.peer, { type: 'cancelJob', job: id });
       if (response.kind === 'responded') return response.response;
     }
-    return this.cancelInStore(id, policy, usefulUntil);
+    return this.cancelInStore(id, policy);
   }
 
-  private async cancelInStore(
-    id: string,
-    policy: RelayPolicy,
-    usefulUntil: SteadyMs,
-  ): Promise<ApiResponse> {
+  private async cancelInStore(id: string, policy: RelayPolicy): Promise<ApiResponse> {
     const { clock, jobRecords } = this.deps;
     const requestedAt = clock.steady();
     const stored = await jobRecords.cancel(JobId(id));
+    // This controller does not know the read leases of the leader that was there before.
     if (stored.kind !== 'unknown')
-      return this.respondFromStore(id, stored, requestedAt, usefulUntil);
+      return this.respondFromStore(id, { stored, requestedAt, earlierAnswersFor: MAX_READ_LEASE });
     // A leader exists but can't be reached: the cancellation is requested through the store, where the
     // leader records the result.
     if (policy === 'handleLocally' || !(await jobRecords.requestCancellation(JobId(id)))) {
       return serviceUnavailable('storeUnavailable');
     }
-    return this.awaitCancellation(id, usefulUntil);
+    return this.awaitCancellation(id);
   }
 
-  private async awaitCancellation(id: string, usefulUntil: SteadyMs): Promise<ApiResponse> {
+  private async awaitCancellation(id: string): Promise<ApiResponse> {
     const { clock, jobRecords } = this.deps;
     const until = addDuration(clock.steady(), CANCEL_WATCH_TIME);
     while (clock.steady() < until) {
@@ -147,51 +117,53 @@
       const requestedAt = clock.steady();
       const stored = await jobRecords.lookUp(JobId(id));
       if (stored.kind === 'final' || (stored.kind === 'live' && stored.job.isCancelled)) {
-        return this.respondFromStore(id, stored, requestedAt, usefulUntil);
+        const earlierAnswersFor = STORE_READ_LEASE;
+        return this.respondFromStore(id, { stored, requestedAt, earlierAnswersFor });
       }
     }
     return serviceUnavailable('deadlineExceeded');
   }
 
-  /** The response for what this controller read in the store, unless another one may know or tell something else. */
-  private async respondFromStore(
-    id: string,
-    stored: StoredJob,
-    requestedAt: SteadyMs,
-    usefulUntil: SteadyMs,
-  ): Promise<ApiResponse> {
-    const { clock, gate } = this.deps;
+  /** The response for what this controller read in the store, unless another one may have told something newer. */
+  private async respondFromStore(id: string, answer: StoreAnswer): Promise<ApiResponse> {
+    const { stored, requestedAt, earlierAnswersFor } = answer;
     const response = storedJobResponse(id, stored);
     const phase = phaseOf(response);
-    if (phase === undefined) return response;
-    const now = clock.steady();
-    if (phase !== JobPhase.ended) {
-      // The job may have changed while a late response was in transit, and the user may already know.
-      const isLate = durationBetween(requestedAt, now) > STORE_READ_TTL;
-      return isLate ? serviceUnavailable('storeLate') : response;
+    if (phase === JobPhase.ended) {
+      const storedBy = this.endStoredBy(stored);
+      await this.awaitEarlierAnswers(id, addDuration(storedBy, earlierAnswersFor));
+      return response;
     }
-    // Only the leader knows its read leases.
-    const storedBy = stored.kind === 'final' ? stored.storedBy : now;
-    const earlierUntil = addDuration(storedBy, MAX_READ_LEASE);
-    const confirmation = { job: id, phase, earlierUntil, usefulUntil, asksPeers: false };
-    return (await gate.pass(confirmation)) === 'tooLate'
-      ? serviceUnavailable('outdated')
-      : response;
+    // The job may have changed while a late response was in transit, and the user may already know.
+    const isLate =
+      phase !== undefined &&
+      durationBetween(requestedAt, this.deps.clock.steady()) > STORE_READ_TTL;
+    return isLate ? serviceUnavailable('storeLate') : response;
+  }
+
+  /** A time by which the end of a job was in the store. */
+  private endStoredBy(stored: StoredJob): SteadyMs {
+    if (stored.kind === 'final') return stored.storedBy;
+    return stored.kind === 'live'
+      ? this.deps.jobRecords.reachedBy(stored.job.revision)
+      : this.deps.clock.steady();
   }
 
   /**
-   * The response for a result of this controller's term, if the term still has authority, and no other controller can
-   * tell an earlier phase of the job any more.
+   * The response for a result of this controller's term, if the term still has authority. `absent` is the
+   * response if the job does not exist.
    */
-  async respondFromTerm(answer: TermAnswer): Promise<ApiResponse> {
-    const { term, id, result, absent } = answer;
+  async respondFromTerm(
+    term: Term,
+    id: string,
+    result: JobLookupResult,
+    absent: ApiResponse,
+  ): Promise<ApiResponse> {
     const response = leaderJobResponse(id, result, absent);
-    const phase = phaseOf(response);
-    if (phase !== undefined) {
-      const passed = await this.passGate(answer, phase);
-      if (passed === 'tooLate') return serviceUnavailable('outdated');
-      // The job may have ended meanwhile.
-      if (passed === 'afterWait' && phase !== JobPhase.ended) return this.respondAgain(answer);
+    if (phaseOf(response) === JobPhase.ended) {
+      const storedBy =
+        result.kind === 'final' ? result.storedBy : cancellationStoredBy(result, term);
+      await this.awaitEarlierAnswers(id, addDuration(storedBy, STORE_READ_LEASE));
     }
     // While this process waited or was suspended, a peer may have become the leader and have shown users a
     // later state than the one known here. A final state does not change.
@@ -199,38 +171,15 @@
     return isAuthorised ? response : serviceUnavailable('authorityLost');
   }
 
-  /** The response to a submission that created the job. */
-  async respondCreated(term: Term, id: string): Promise<ApiResponse> {
-    const usefulUntil = addDuration(this.deps.clock.steady(), MAX_REQUEST_TIME);
-    const result: JobLookupResult = { kind: 'unknown' };
-    const answer: TermAnswer = { term, id, result, absent: NO_SUCH_JOB, usefulUntil };
-    switch (await this.passGate(answer, JobPhase.accepted)) {
-      case 'atOnce':
-        return createdResponse(id);
-      case 'afterWait':
-        return this.respondAgain(answer);
-      case 'tooLate':
-        return serviceUnavailable('outdated');
-    }
-  }
-
-  private passGate({ term, id, result, usefulUntil }: TermAnswer, phase: JobPhase) {
-    const earlierUntil =
-      phase === JobPhase.ended ? this.earlierUntil(term, result) : term.startedAt;
-    return this.deps.gate.pass({ job: id, phase, earlierUntil, usefulUntil, asksPeers: true });
-  }
-
-  /** Until when others may tell that a job has not ended: under leases of an earlier leader, or from the store. */
-  private earlierUntil(term: Term, result: JobLookupResult): SteadyMs {
-    const storedBy = result.kind === 'final' ? result.storedBy : this.deps.clock.steady();
-    return latest(
-      addDuration(term.startedAt, MAX_READ_LEASE),
-      addDuration(storedBy, STORE_READ_LEASE),
-    );
-  }
-
-  private async respondAgain(answer: TermAnswer): Promise<ApiResponse> {
-    const result = await answer.term.findJob(JobId(answer.id));
-    return this.respondFromTerm({ ...answer, result });
+  /** Resolves when no controller can tell any more that the job has not ended, which is at `until` for the others. */
+  private async awaitEarlierAnswers(id: string, until: SteadyMs): Promise<void> {
+    const { clock, pendingAnswers } = this.deps;
+    pendingAnswers.revokeBefore(JobPhase.ended, id);
+    const remaining = durationBetween(clock.steady(), until);
+    if (remaining > 0) await sleep(clock, remaining);
   }
 }
+
+/** A time by which the cancellation of a live job was in the store. */
+const cancellationStoredBy = (result: JobLookupResult, term: Term): SteadyMs =>
+  (result.kind === 'live' ? result.job.cancellationStoredAt : undefined) ?? term.startedAt;
--- a/src/api/leader-relay.ts
+++ b/src/api/leader-relay.ts
@@ -1,16 +1,10 @@
 /** Relays users' requests from this controller to the leader, as many at a time as the leader can answer. */
+import { RELAY_TIMEOUTS } from '../leader/read-leases.js';
 import type { Peer } from '../peer/peer.js';
 import type { PeerResponse, UserPeerRequest } from '../peer/messages.js';
 import { ConcurrencyLimit } from '../relay/concurrency-limit.js';
 import { ExpiringMap } from '../units/expiring-map.js';
-import {
-  durationBetween,
-  ms,
-  seconds,
-  type Clock,
-  type DurationMs,
-  type SteadyMs,
-} from '../units/index.js';
+import { durationBetween, seconds, type Clock, type SteadyMs } from '../units/index.js';
 import { serviceUnavailable, type ApiResponse } from './api-response.js';
 
 /** The result of a request to the leader. */
@@ -21,17 +15,6 @@
 
 const NO_RESPONSE: LeaderResponse = { kind: 'noResponse' };
 
-/** For how long after a request was sent the response of the leader is passed on. */
-export const RELAY_TIMEOUTS: Readonly<Record<UserPeerRequest['type'], DurationMs>> = {
-  /**
-   * A controller that gets no response in time writes the record itself, if none exists. That costs more than a late
-   * response, so the timeout allows for a leader under high load.
-   */
-  submitJob: ms(1500),
-  readJob: ms(1200),
-  cancelJob: ms(1500),
-};
-
 /** The polls of a job that have not been relayed for this long are preferred. */
 const MAX_REFUSED_TIME = seconds(20);
 /** Longer than the time between two polls of a job. */
--- a/src/api/peer-request-handler.ts
+++ b/src/api/peer-request-handler.ts
@@ -1,4 +1,5 @@
 /** Handles the requests that the peers send to this controller. */
+import { RELAY_TIMEOUTS } from '../leader/read-leases.js';
 import type { HttpClient } from '../net/http.js';
 import type {
   MachineImages,
@@ -13,7 +14,6 @@
 import { encode } from '../wire/index.js';
 import type { LeaderView } from './leader-view.js';
 import { CLIENT_LEFT, type ApiResponse } from './api-response.js';
-import { RELAY_TIMEOUTS } from './leader-relay.js';
 import type { RequestMetrics } from './request-metrics.js';
 import type { UserRequestHandler } from './user-request-handler.js';
 import type { WorkerHeartbeatHandler } from './worker-heartbeat-handler.js';
--- a/src/api/pending-answers.ts
+++ b/src/api/pending-answers.ts
@@ -1,6 +1,7 @@
 /** The answers that a controller is determining, so that none is given after a newer one has been told elsewhere. */
 import { serviceUnavailable, type ApiResponse } from './api-response.js';
-import { phaseOf, type JobPhase } from './job-phase.js';
+import type { JobPhase } from '../ledger/job-phase.js';
+import { phaseOf } from './job-phase.js';
 
 /** A revoked answer is determined anew once: a job seldom changes its phase twice in that time. */
 const MAX_ATTEMPTS = 2;
--- a/src/api/submission-handler.ts
+++ b/src/api/submission-handler.ts
@@ -8,21 +8,14 @@
 import type { SubmitOutcome } from '../leader/job-requests.js';
 import type { Term } from '../leader/term.js';
 import { runInBackground } from '../units/run-in-background.js';
-import {
-  JobId,
-  addDuration,
-  ms,
-  durationBetween,
-  type Clock,
-  type DurationMs,
-} from '../units/index.js';
+import { JobId, ms, durationBetween, type Clock, type DurationMs } from '../units/index.js';
 import {
   parseSubmission,
   decodeSubmissionId,
   type JobSpec,
   type ParseResult,
 } from '../wire/index.js';
-import { MAX_REQUEST_TIME, type JobHandler } from './job-handler.js';
+import type { JobHandler } from './job-handler.js';
 import { busyResponse, createdResponse } from './job-responses.js';
 import type { LeaderRelay } from './leader-relay.js';
 import type { LeaderView, RelayPolicy } from './leader-view.js';
@@ -38,7 +31,7 @@
   readonly admission: AdmissionControl;
   readonly leaderView: LeaderView;
   readonly jobRecords: JobRecords;
-  readonly jobHandler: Pick<JobHandler, 'read' | 'respondFromTerm' | 'respondCreated'>;
+  readonly jobHandler: Pick<JobHandler, 'read' | 'respondFromTerm'>;
   readonly pendingAnswers: PendingAnswers;
   readonly leaderRelay: LeaderRelay;
   readonly clock: Clock;
@@ -199,17 +192,18 @@
     id: string,
     outcome: SubmitOutcome,
   ): Promise<ApiResponse> {
-    const { clock, jobHandler } = this.deps;
     switch (outcome.kind) {
       case 'created':
-        return jobHandler.respondCreated(term, id);
+        return createdResponse(id);
       case 'busy':
         return busyResponse(outcome.wait);
-      default: {
-        const absent = serviceUnavailable('notCommitted');
-        const usefulUntil = addDuration(clock.steady(), MAX_REQUEST_TIME);
-        return jobHandler.respondFromTerm({ term, id, result: outcome, absent, usefulUntil });
-      }
+      default:
+        return this.deps.jobHandler.respondFromTerm(
+          term,
+          id,
+          outcome,
+          serviceUnavailable('notCommitted'),
+        );
     }
   }
 }
--- a/src/api/user-request-handler.ts
+++ b/src/api/user-request-handler.ts
@@ -7,13 +7,14 @@
 import type { AdmissionControl } from '../ledger/admission-control.js';
 import type { JobRecords } from '../ledger/job-records.js';
 import type { UserPeerRequest } from '../peer/messages.js';
+import { JobPhase } from '../ledger/job-phase.js';
+import { STORE_READ_LEASE, type ReadLeases } from '../leader/read-leases.js';
 import type { Reachability } from '../peer/reachability.js';
-import type { Clock, SteadyMs } from '../units/index.js';
+import { JobId, ms, type Clock, type DurationMs, type SteadyMs } from '../units/index.js';
 import { jobStateIn } from '../wire/index.js';
-import { ConfirmationGate } from './confirmation-gate.js';
-import { JobHandler, MAX_REQUEST_TIME } from './job-handler.js';
-import { JobPhase, phaseOf } from './job-phase.js';
-import { LeaderRelay, RELAY_TIMEOUTS } from './leader-relay.js';
+import { JobHandler } from './job-handler.js';
+import { phaseOf } from './job-phase.js';
+import { LeaderRelay } from './leader-relay.js';
 import type { LeaderView, RelayPolicy } from './leader-view.js';
 import {
   CONTROLLER_ISOLATED,
@@ -23,10 +24,14 @@
   type ApiResponse,
 } from './api-response.js';
 import { PendingAnswers } from './pending-answers.js';
-import { ReadLeases } from './read-leases.js';
 import { SubmissionHandler } from './submission-handler.js';
 import { UnansweredJobs } from './unanswered-jobs.js';
 
+/** A user's request that takes longer than this gets its final response, a 503. */
+const MAX_REQUEST_TIME = ms(2500);
+/** A cancellation is confirmed `STORE_READ_LEASE` after it is in the store, and its user waits longer than for a poll. */
+const MAX_CANCELLATION_TIME = ms(MAX_REQUEST_TIME + STORE_READ_LEASE);
+
 const JOBS_PATH = '/v1/jobs';
 const JOB_PATH = /^\/v1\/jobs\/([^/]+)$/;
 const CANCEL_PATH = /^\/v1\/jobs\/([^/]+)\/abort$/;
@@ -36,6 +41,7 @@
   readonly admission: AdmissionControl;
   readonly leaderView: LeaderView;
   readonly jobRecords: JobRecords;
+  readonly readLeases: ReadLeases;
   readonly clock: Clock;
   readonly log: Logger;
   /** Whether this controller can serve users. */
@@ -47,17 +53,13 @@
   private readonly jobHandler: JobHandler;
   private readonly submissionHandler: SubmissionHandler;
   private readonly pendingAnswers = new PendingAnswers();
-  private readonly readLeases = new ReadLeases();
   /** The jobs whose polls this controller refuses, direct and relayed ones. */
   readonly unansweredJobs: UnansweredJobs;
 
   constructor(private readonly deps: UserRequestDependencies) {
-    const { pendingAnswers, readLeases } = this;
-    const { clock, leaderView } = deps;
-    const { peers } = leaderView;
-    const leaderRelay = new LeaderRelay(clock);
-    const gate = new ConfirmationGate({ clock, peers, readLeases, pendingAnswers });
-    this.jobHandler = new JobHandler({ ...deps, leaderRelay, gate, pendingAnswers });
+    const { pendingAnswers } = this;
+    const leaderRelay = new LeaderRelay(deps.clock);
+    this.jobHandler = new JobHandler({ ...deps, leaderRelay, pendingAnswers });
     this.unansweredJobs = new UnansweredJobs(deps.clock, deps.log);
     this.submissionHandler = new SubmissionHandler({
       ...deps,
@@ -90,7 +92,8 @@
     const cancelledJobId = CANCEL_PATH.exec(path)?.[1];
     if (cancelledJobId !== undefined) {
       if (method !== 'POST') return METHOD_NOT_ALLOWED;
-      return this.withDeadline(this.jobHandler.cancel(cancelledJobId, 'relay'));
+      const cancellation = this.jobHandler.cancel(cancelledJobId, 'relay');
+      return this.withDeadline(cancellation, MAX_CANCELLATION_TIME);
     }
     return NO_SUCH_PATH;
   }
@@ -103,9 +106,12 @@
     const response = await this.dispatchRelayed(request);
     const phase = phaseOf(response);
     const job = request.type === 'submitJob' ? jobStateIn(response.body)?.id : request.job;
-    if (phase !== undefined && job !== undefined)
-      this.readLeases.grant(job, phase, receivedAt, RELAY_TIMEOUTS[request.type]);
-    return response;
+    if (phase === undefined || phase === JobPhase.ended || job === undefined) return response;
+    this.deps.readLeases.grant(job, phase, request.type, receivedAt);
+    // A record that contradicts the answer may have been sent after the answer was determined and before the lease.
+    const term = this.deps.leaderView.authorisedTerm();
+    const isCurrent = term === undefined || term.isCurrentPhase(JobId(job), phase);
+    return isCurrent ? response : serviceUnavailable('stateUncertain');
   }
 
   /** Gives up the read leases on a job: what this controller is about to tell about it may be outdated. */
@@ -121,7 +127,10 @@
       case 'readJob':
         return this.read(request.job, 'handleLocally');
       case 'cancelJob':
-        return this.withDeadline(this.jobHandler.cancel(request.job, 'handleLocally'));
+        return this.withDeadline(
+          this.jobHandler.cancel(request.job, 'handleLocally'),
+          MAX_CANCELLATION_TIME,
+        );
     }
   }
 
@@ -132,10 +141,13 @@
     return response;
   }
 
-  /** Responds with a 503 if the work takes longer than `MAX_REQUEST_TIME` or fails. */
-  private withDeadline(work: Promise<ApiResponse>): Promise<ApiResponse> {
+  /** Responds with a 503 if the work takes longer than `maxTime` or fails. */
+  private withDeadline(
+    work: Promise<ApiResponse>,
+    maxTime: DurationMs = MAX_REQUEST_TIME,
+  ): Promise<ApiResponse> {
     return new Promise((resolve) => {
-      const timer = this.deps.clock.after(MAX_REQUEST_TIME, () =>
+      const timer = this.deps.clock.after(maxTime, () =>
         resolve(serviceUnavailable('deadlineExceeded')),
       );
       work.then(
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -16,6 +16,7 @@
 import { Election } from './leader/election.js';
 import { ImageHintCache } from './leader/image-hints.js';
 import { CatalogSync } from './leader/catalog-sync.js';
+import { ReadLeases } from './leader/read-leases.js';
 import { Term } from './leader/term.js';
 import type { HttpClient } from './net/http.js';
 import type { Peer } from './peer/peer.js';
@@ -61,6 +62,7 @@
   private readonly peerLiveness: PeerLiveness;
   private readonly leaderView: LeaderView;
   private readonly imageHints = new ImageHintCache();
+  private readonly readLeases = new ReadLeases();
   private readonly serviceLog: ServiceLog;
   private hasSeenLeader = false;
 
@@ -151,12 +153,13 @@
   }
 
   private createUserRequestHandler(): UserRequestHandler {
-    const { catalog, jobRecords, leaderView, recordLimits } = this;
+    const { catalog, jobRecords, leaderView, readLeases, recordLimits } = this;
     const { clock, log } = this.environment;
     return new UserRequestHandler({
       admission: new AdmissionControl(catalog, this.settings.teams, recordLimits),
       leaderView,
       jobRecords,
+      readLeases,
       clock,
       log,
       reachability: () => this.peerLiveness.reachability(),
@@ -219,6 +222,7 @@
       onMachineTypesChanged: () =>
         runInBackground(this.catalogSync.save(), log, 'saving machine types to the state store'),
       imageHints,
+      readLeases: this.readLeases,
       broadcastImageHints: (machines) => this.broadcastImageHints(machines),
       peers,
     });
--- a/src/leader/job-requests.ts
+++ b/src/leader/job-requests.ts
@@ -1,5 +1,6 @@
 /** Handles users' requests to submit, read and cancel jobs, as the leader of one epoch. */
 import type { KnownFinalState } from '../ledger/final-state-cache.js';
+import { JobPhase, storedPhaseOf } from '../ledger/job-phase.js';
 import { STORE_READ_TTL, type JobRecords, type StoredJob } from '../ledger/job-records.js';
 import { Job, WritePriority } from '../ledger/job.js';
 import type { Ledger } from '../ledger/ledger.js';
@@ -146,6 +147,17 @@
     }
   }
 
+  /** Whether an answer that tells this phase is still correct, and no record that contradicts it may have been sent. */
+  isCurrent(id: JobId, phase: JobPhase): boolean {
+    const known = this.findInMemory(id);
+    if (!known) return phase === JobPhase.absent;
+    if (known.kind === 'final') return phase === JobPhase.ended;
+    const { job } = known;
+    return (
+      phase !== JobPhase.absent && phase === storedPhaseOf(job) && !job.hasTerminalWriteInFlight
+    );
+  }
+
   /** Cancels the job. Resolves once the cancellation is committed or its outcome is unknown. */
   async cancel(id: JobId): Promise<JobLookupResult> {
     const found = await this.find(id);
--- a/src/leader/term-dependencies.ts
+++ b/src/leader/term-dependencies.ts
@@ -12,6 +12,7 @@
 import type { MachineImages } from '../peer/messages.js';
 import type { Clock, Epoch, ControllerId, Random } from '../units/index.js';
 import type { ImageHintCache } from './image-hints.js';
+import type { ReadLeases } from './read-leases.js';
 
 /** Shared by the components of a term. All of these objects outlive the term. */
 export interface TermDependencies {
@@ -36,6 +37,8 @@
   readonly imageHints: ImageHintCache;
   /** Sends hints to the other controllers about which images machines hold. */
   readonly broadcastImageHints: (machines: readonly MachineImages[]) => void;
+  /** The read leases that this controller has granted, in this term and in earlier ones. */
+  readonly readLeases: ReadLeases;
   /** The connections to the other controllers, which relay heartbeats of workers and commands to them. */
   readonly peers: ReadonlyMap<ControllerId, Peer>;
 }
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -8,6 +8,7 @@
 import { taskResources } from '../fleet/resources.js';
 import type { Job } from '../ledger/job.js';
 import type { LedgerEvents } from '../ledger/ledger-events.js';
+import type { JobPhase } from '../ledger/job-phase.js';
 import { Ledger } from '../ledger/ledger.js';
 import type { UnchangedHeartbeat } from '../peer/messages.js';
 import { runInBackground } from '../units/run-in-background.js';
@@ -32,6 +33,7 @@
 import { PeriodicWork } from './periodic-work.js';
 import { PlacementIndex } from './placement-index.js';
 import { JobRecovery } from './job-recovery.js';
+import { ReadLeaseHold } from './read-lease-hold.js';
 import { ResponseCommands } from './response-commands.js';
 import { Scheduler } from './scheduler.js';
 import { StartFencing } from './start-fencing.js';
@@ -130,7 +132,8 @@
       },
       onLeaderKeyLost: () => onDeposed(this.epoch),
     };
-    return new Ledger({
+    const hold = new ReadLeaseHold(this.deps);
+    const ledger = new Ledger({
       store,
       epoch: this.epoch,
       limits: recordLimits,
@@ -138,7 +141,10 @@
       random,
       log,
       events,
+      hold,
     });
+    hold.onReleased = () => ledger.scheduleCommit();
+    return ledger;
   }
 
   private createStartFencing(): StartFencing {
@@ -266,6 +272,11 @@
     return this.jobRequests.find(id);
   }
 
+  /** See `JobRequests.isCurrent`. */
+  isCurrentPhase(id: JobId, phase: JobPhase): boolean {
+    return this.jobRequests.isCurrent(id, phase);
+  }
+
   /** See `JobRequests.cancel`. */
   cancelJob(id: JobId): Promise<JobLookupResult> {
     return this.jobRequests.cancel(id);
--- a/src/ledger/batch-assembler.ts
+++ b/src/ledger/batch-assembler.ts
@@ -5,6 +5,7 @@
 import { NEVER, type CommitQueue } from './commit-queue.js';
 import { WritePriority, type Job } from './job.js';
 import type { RecordLimits } from './record-limits.js';
+import type { WriteHold } from './write-hold.js';
 
 /** Progress is written only while at least this share of a full burst of writes remains for other changes. */
 const MIN_BUDGET_SHARE_FOR_PROGRESS = 0.6;
@@ -25,12 +26,15 @@
   readonly checkAfter: DurationMs;
 }
 
+const earlier = (one: DurationMs, other: DurationMs): DurationMs => ms(Math.min(one, other));
+
 /** The dependencies of the assembler. */
 export interface BatchAssemblerOptions {
   readonly store: Pick<StoreClient, 'availableWriteTokens' | 'writeWait'>;
   readonly epoch: Epoch;
   readonly limits: RecordLimits;
   readonly queue: CommitQueue;
+  readonly hold: WriteHold;
   readonly clock: Clock;
 }
 
@@ -55,30 +59,35 @@
 
   /**
    * Adds records in order until one does not fit; less urgent records are not written before that one. A record that
-   * must be written by itself is skipped unless the batch is still empty.
+   * must be written by itself is skipped unless the batch is still empty, and one that is held back is skipped.
    */
   private addRecords(
     builder: BatchBuilder,
     jobs: readonly Job[],
     budgetShare: number,
   ): AddedRecords {
-    const { store, queue } = this.options;
+    const { store, queue, hold } = this.options;
     let checkAfter = NEVER;
     for (const job of jobs) {
       if (
         job.writePriority >= WritePriority.progress &&
         budgetShare < MIN_BUDGET_SHARE_FOR_PROGRESS
       ) {
-        checkAfter = PROGRESS_RETRY_INTERVAL;
+        checkAfter = earlier(checkAfter, PROGRESS_RETRY_INTERVAL);
         break;
       }
       const needsOwnTransaction = queue.needsOwnTransaction(job);
       if (needsOwnTransaction && !builder.isEmpty) continue;
       const operations = operationCountOf(job);
       if (!builder.hasRoomFor(operations)) {
-        if (builder.isEmpty) checkAfter = store.writeWait(operations);
+        if (builder.isEmpty) checkAfter = earlier(checkAfter, store.writeWait(operations));
         break;
       }
+      const heldFor = hold.holdBack(job);
+      if (heldFor > 0) {
+        checkAfter = earlier(checkAfter, heldFor);
+        continue;
+      }
       if (!builder.add(job)) break;
       queue.take(job);
       if (needsOwnTransaction) return { isExclusive: true, checkAfter };
--- a/src/ledger/job-records.ts
+++ b/src/ledger/job-records.ts
@@ -4,7 +4,15 @@
  */
 import type { StoreClient } from '../store/client.js';
 import type { CommitResult } from '../store/results.js';
-import { Epoch, JobId, Revision, ms, type Clock, type DurationMs } from '../units/index.js';
+import {
+  Epoch,
+  JobId,
+  Revision,
+  ms,
+  type Clock,
+  type DurationMs,
+  type SteadyMs,
+} from '../units/index.js';
 import type { StoreCondition, JobSpec, StoreWrite } from '../wire/index.js';
 import { decodeFinal, encodeFinal } from './final-record.js';
 import { FinalStateCache, type KnownFinalState } from './final-state-cache.js';
@@ -81,11 +89,16 @@
     const stored = await this.store.get(finalKey(id), STORE_TIMEOUT, USER_REQUEST_OPTIONS);
     if (stored.kind === 'failed') return { kind: 'unknown' };
     if (stored.kind === 'absent') return { kind: 'absent' };
-    const known = { final: decodeFinal(stored.data), storedBy: this.clock.steady() };
+    const known = { final: decodeFinal(stored.data), storedBy: this.reachedBy(stored.revision) };
     this.finalStates.set(id, known);
     return { kind: 'final', ...known };
   }
 
+  /** A time by which the store had reached the revision of a record that was read from it. */
+  reachedBy(revision: Revision): SteadyMs {
+    return this.store.reachedBy(revision);
+  }
+
   /** How long a creation would be queued for the store. */
   creationWait(): DurationMs {
     return this.store.writeWait(2);
@@ -136,7 +149,10 @@
         ]);
     if (result.kind === 'tooLarge') this.limits.onSizeRefusal();
     if (result.kind !== 'committed') return { kind: 'unknown' };
-    if (!job.isFinished) return found;
+    if (!job.isFinished) {
+      job.revision = result.revision;
+      return found;
+    }
     const known = { final: job.finalState(), storedBy: this.clock.steady() };
     this.finalStates.set(id, known);
     return { kind: 'final', ...known };
--- a/src/ledger/job.ts
+++ b/src/ledger/job.ts
@@ -117,6 +117,8 @@
   committedVersion = 0;
   /** The store revision of the record; 0 if there is no record. The next write applies only to this revision. */
   revision: Revision;
+  /** When this leader learned that its cancellation is in the store; undefined if an earlier leader wrote it. */
+  cancellationStoredAt: SteadyMs | undefined;
   /** The progress at the committed version. */
   committedProgress: JobProgress = { isCancelled: false, doneCount: 0, placedCount: 0 };
 
@@ -126,7 +128,10 @@
   writePriority: WritePriority = WritePriority.none;
   /** A transaction with the job's record is in flight, or its outcome is being determined. */
   hasWriteInFlight = false;
-  /** The write in flight makes the job cancelled or finished: other controllers may already read that. */
+  /**
+   * The write in flight, or one that is held back, makes the job cancelled or finished: other controllers may already
+   * read that.
+   */
   hasTerminalWriteInFlight = false;
   /**
    * A write that makes the job cancelled or finished got no response. It may be applied at any time, until a later
--- a/src/ledger/ledger.ts
+++ b/src/ledger/ledger.ts
@@ -23,6 +23,7 @@
 import { OutcomeResolver } from './outcome-resolver.js';
 import type { RecordLimits } from './record-limits.js';
 import { TransactionWriter } from './transaction-writer.js';
+import { NO_WRITE_HOLD, type WriteHold } from './write-hold.js';
 import { WriteOutcomeHandler } from './write-outcome-handler.js';
 
 const MIN_FAILURE_BACKOFF = ms(150);
@@ -37,6 +38,8 @@
   readonly random: Random;
   readonly log: Logger;
   readonly events: LedgerEvents;
+  /** What records wait for; nothing by default. */
+  readonly hold?: WriteHold;
 }
 
 /**
@@ -54,7 +57,8 @@
   private readonly writer: TransactionWriter;
   private readonly loop: CommitLoop;
 
-  constructor({ store, epoch, limits, clock, random, log, events }: LedgerOptions) {
+  constructor(options: LedgerOptions) {
+    const { store, epoch, limits, clock, random, log, events, hold = NO_WRITE_HOLD } = options;
     const { table, waiters } = this;
     const lock = new Mutex();
     const backoff = new Backoff(clock, random, MIN_FAILURE_BACKOFF, MAX_FAILURE_BACKOFF);
@@ -71,7 +75,7 @@
     const resolver = new OutcomeResolver({ store, epoch, outcomeHandler, clock, log });
     const context = { store, epoch, limits, queue, waiters, lock, backoff, clock, log };
     this.writer = new TransactionWriter({ ...context, outcomeHandler, resolver, events });
-    const assembler = new BatchAssembler({ store, epoch, limits, queue, clock });
+    const assembler = new BatchAssembler({ store, epoch, limits, queue, hold, clock });
     this.loop = new CommitLoop({ assembler, writer: this.writer, lock, backoff, clock, log });
     this.store = store;
     this.backoff = backoff;
--- a/src/ledger/write-outcome-handler.ts
+++ b/src/ledger/write-outcome-handler.ts
@@ -27,7 +27,7 @@
 
   /** The record is in the store; as the final record of its job if `finalState` is given. */
   onCommitted(record: PendingRecord, revision: Revision, finalState: FinalState | undefined): void {
-    const { queue, waiters, events } = this.options;
+    const { queue, waiters, events, clock } = this.options;
     const { job } = record;
     job.hasWriteInFlight = false;
     job.hasTerminalWriteInFlight = false;
@@ -35,6 +35,8 @@
     job.isCreationOutcomeUnknown = false;
     job.revision = revision;
     job.committedVersion = Math.max(job.committedVersion, record.version);
+    if (record.progress.isCancelled && !job.committedProgress.isCancelled)
+      job.cancellationStoredAt = clock.steady();
     job.committedProgress = record.progress;
     queue.recordCommit(job);
     if (finalState) {
@@ -79,6 +81,7 @@
     limits.onRecordRead(data);
     const replacement = decodeJob(job.id, data, revision, clock.steady());
     replacement.inheritFrom(job);
+    if (replacement.isCancelled) replacement.cancellationStoredAt = clock.steady();
     queue.untrack(job);
     table.set(replacement);
     queue.track(replacement);
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -11,9 +11,9 @@
   type SteadyMs,
 } from '../units/index.js';
 import {
-  decodeCommitRevision,
   decodeConflictingKeys,
   decodeLeaseId,
+  decodeRevision,
   decodeStoredValue,
   decodeValuePage,
   decodeWatchedChanges,
@@ -24,6 +24,7 @@
 } from '../wire/index.js';
 import { RequestQueue } from './request-queue.js';
 import { StoreMetrics } from './store-metrics.js';
+import { RevisionHistory } from './revision-history.js';
 import { RateBudget, type Role, type StoreRateLimits } from './rate-budget.js';
 import type {
   CommitResult,
@@ -73,6 +74,7 @@
   private readonly queue: RequestQueue;
   private lastResponseTime: SteadyMs;
   private lastContactTime: SteadyMs;
+  private readonly revisions = new RevisionHistory();
   /** The outcomes of all requests. */
   readonly metrics = new StoreMetrics();
 
@@ -96,6 +98,15 @@
     return this.lastContactTime;
   }
 
+  /** A time by which the store had reached a revision that one of its responses has shown. */
+  reachedBy(revision: Revision): SteadyMs {
+    return this.revisions.reachedBy(revision, this.clock.steady());
+  }
+
+  private recordRevision(revision: number | undefined): void {
+    if (revision !== undefined) this.revisions.record(Revision(revision), this.clock.steady());
+  }
+
   /** Adapts this controller's share of the rates to its role. */
   setRole(role: Role): void {
     this.budget.setRole(role);
@@ -159,9 +170,13 @@
   async get(key: string, timeout: DurationMs, options: RequestOptions = {}): Promise<ReadResult> {
     const outcome = await this.send({ method: 'GET', path: `/store/${key}`, timeout }, options);
     if (outcome.kind !== 'response') return { kind: 'failed', reason: outcome.reason };
-    if (outcome.status === 404) return { kind: 'absent' };
+    if (outcome.status === 404) {
+      this.recordRevision(decodeRevision(outcome.body));
+      return { kind: 'absent' };
+    }
     const value = outcome.status === 200 ? decodeStoredValue(outcome.body) : undefined;
     if (!value) return { kind: 'failed', reason: `status ${outcome.status}` };
+    this.recordRevision(value.revision);
     const { data, leaseId } = value;
     return { kind: 'found', data, revision: Revision(value.revision), leaseId };
   }
@@ -197,6 +212,7 @@
     if (outcome.kind !== 'response') return { kind: 'failed', reason: outcome.reason };
     const page = outcome.status === 200 ? decodeValuePage(outcome.body) : undefined;
     if (!page) return { kind: 'failed', reason: `status ${outcome.status}` };
+    this.recordRevision(page.revision);
     const items = page.values.map((value) => ({ ...value, revision: Revision(value.revision) }));
     const next = page.hasNext ? items.at(-1)?.key : undefined;
     return { kind: 'page', items, revision: Revision(page.revision), next };
@@ -215,7 +231,9 @@
       options,
       writes.length,
     );
-    return toCommitResult(outcome);
+    const result = toCommitResult(outcome);
+    if (result.kind === 'committed') this.recordRevision(result.revision);
+    return result;
   }
 
   /** Creates a lease and returns its id; undefined if it is not known to have been granted. */
@@ -272,7 +290,7 @@
   const { status, body } = outcome;
   switch (status) {
     case 200: {
-      const revision = decodeCommitRevision(body);
+      const revision = decodeRevision(body);
       if (revision !== undefined) return { kind: 'committed', revision: Revision(revision) };
       return { kind: 'unknown', reason: 'unreadable response' };
     }
--- a/src/wire/store.ts
+++ b/src/wire/store.ts
@@ -79,11 +79,11 @@
   return { put, data, tenure: leaseId };
 }
 
-const CommittedMessage = z.object({ ledger_rev: z.number() });
+const RevisionMessage = z.object({ ledger_rev: z.number() });
 
-/** Decodes the revision of a committed transaction; undefined if the message does not contain one. */
-export function decodeCommitRevision(value: unknown): number | undefined {
-  const parsed = CommittedMessage.safeParse(value);
+/** The store's revision, which most of its responses contain; undefined in others. */
+export function decodeRevision(body: unknown): number | undefined {
+  const parsed = RevisionMessage.safeParse(body);
   return parsed.success ? parsed.data.ledger_rev : undefined;
 }
 
--- a/test/support/leader-request-handlers.ts
+++ b/test/support/leader-request-handlers.ts
@@ -9,6 +9,7 @@
 import type { JobRecords } from '../../src/ledger/job-records.js';
 import { RecordLimits } from '../../src/ledger/record-limits.js';
 import type { JobLookupResult } from '../../src/leader/job-requests.js';
+import { ReadLeases } from '../../src/leader/read-leases.js';
 import type { Term } from '../../src/leader/term.js';
 import type { Peer } from '../../src/peer/peer.js';
 import type { Reachability } from '../../src/peer/reachability.js';
@@ -70,6 +71,7 @@
     ),
     leaderView,
     jobRecords,
+    readLeases: new ReadLeases(),
     clock,
     log: pino({ level: 'silent' }),
     reachability: () => reachability,
