--- a/src/api/api-response.ts
+++ b/src/api/api-response.ts
@@ -58,6 +58,11 @@
 };
 /** The client will not receive this: it closed the connection before its request was handled. */
 export const CLIENT_LEFT: ApiResponse = serviceUnavailable('clientLeft');
+/**
+ * The store responded to the leader so late that the job may have been accepted since. Unlike a 503, which means that the
+ * leader is not ready, a follower passes this on: it would only ask the store the same again.
+ */
+export const LEADER_STORE_LATE: ApiResponse = { status: 504, retryAfter: 1, refusal: 'storeLate' };
 /** The store or the leader found no record of the job, and looked after the request arrived. */
 export const NO_SUCH_JOB: ApiResponse = { status: 404, body: { error: 'no such job' } };
 /** The service has no resource under this path. */
--- a/src/api/job-responses.ts
+++ b/src/api/job-responses.ts
@@ -4,7 +4,12 @@
 import type { JobLookupResult } from '../leader/job-requests.js';
 import type { DurationMs } from '../units/index.js';
 import { JobStatus, encodeJobState } from '../wire/index.js';
-import { NO_SUCH_JOB, serviceUnavailable, type ApiResponse } from './api-response.js';
+import {
+  LEADER_STORE_LATE,
+  NO_SUCH_JOB,
+  serviceUnavailable,
+  type ApiResponse,
+} from './api-response.js';
 
 /** This submission has written the job to the store. */
 export const createdResponse = (id: string): ApiResponse => ({
@@ -49,6 +54,8 @@
       return { status: 200, body: finalBody(id, result.final) };
     case 'absent':
       return absent;
+    case 'absentBefore':
+      return LEADER_STORE_LATE;
     case 'unknown':
       return serviceUnavailable('stateUncertain');
   }
--- a/src/leader/job-requests.ts
+++ b/src/leader/job-requests.ts
@@ -34,6 +34,8 @@
   | KnownJob
   /** No record of the job exists. */
   | { readonly kind: 'absent' }
+  /** No record of the job existed when the store was asked, but that was so long ago that there may be one now. */
+  | { readonly kind: 'absentBefore' }
   /** The state of the job cannot be determined at the moment. */
   | { readonly kind: 'unknown' };
 
@@ -140,7 +142,7 @@
       case 'absent': {
         // Another controller may have accepted the job while a late response was in transit.
         const isLate = durationBetween(requestedAt, clock.steady()) > STORE_READ_TTL;
-        return isLate ? UNKNOWN_JOB : stored;
+        return isLate ? { kind: 'absentBefore' } : stored;
       }
       case 'unknown':
         return stored;
--- a/test/unit/job-requests.test.ts
+++ b/test/unit/job-requests.test.ts
@@ -88,7 +88,7 @@
   const uncommitted = new Job(job.id, job.spec, WallMs(0), Revision(0));
   const cases: [name: string, readMs: number, submitted: Job | undefined, kind: string][] = [
     ['read in time', 100, undefined, 'absent'],
-    ['read late: another controller may have written it', 400, undefined, 'unknown'],
+    ['read late: another controller may have written it', 400, undefined, 'absentBefore'],
     ['submitted to the leader meanwhile', 100, job, 'live'],
     ['submitted to the leader meanwhile, and not committed', 100, uncommitted, 'unknown'],
   ];
--- a/test/unit/user-request-handler.test.ts
+++ b/test/unit/user-request-handler.test.ts
@@ -32,6 +32,7 @@
   const cases: Case[] = [
     ['a query of a job', 'GET', `/v1/jobs/${JOB_ID}`, { kind: 'live', job: running }, 200],
     ['a query of an unknown job', 'GET', `/v1/jobs/${JOB_ID}`, { kind: 'absent' }, 404],
+    ['a late lookup', 'GET', `/v1/jobs/${JOB_ID}`, { kind: 'absentBefore' }, 504],
     ['a repeated submission', 'POST', '/v1/jobs', { kind: 'live', job: running }, 200],
     ['a cancellation', 'POST', `/v1/jobs/${JOB_ID}/abort`, { kind: 'live', job: running }, 200],
   ];
