--- a/src/api/job-handler.ts
+++ b/src/api/job-handler.ts
@@ -48,8 +48,8 @@
   constructor(private readonly deps: JobHandlerDependencies) {}
 
   /** Returns the state of a job, or a 503 if the state is not certain. */
-  async read(id: string, policy: RelayPolicy): Promise<ApiResponse> {
-    if (!JOB_ID_PATTERN.test(id)) return NO_SUCH_JOB;
+  read(id: string, policy: RelayPolicy): Promise<ApiResponse> {
+    if (!JOB_ID_PATTERN.test(id)) return Promise.resolve(NO_SUCH_JOB);
     return this.deps.pendingAnswers.determine(id, () => this.determine(id, policy));
   }
 
--- a/src/api/pending-answers.ts
+++ b/src/api/pending-answers.ts
@@ -20,8 +20,12 @@
   async determine(job: string, determine: () => Promise<ApiResponse>): Promise<ApiResponse> {
     for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
       const pending = this.begin(job);
-      const response = await determine().finally(() => this.end(job, pending));
-      if (!isRevoked(response, pending)) return response;
+      try {
+        const response = await determine();
+        if (!isRevoked(response, pending)) return response;
+      } finally {
+        this.end(job, pending);
+      }
     }
     return serviceUnavailable('outdated');
   }
--- a/src/units/turn-budget.ts
+++ b/src/units/turn-budget.ts
@@ -11,8 +11,11 @@
 /** Requests get at least this share of the time, however long other work makes each turn. */
 const MIN_TIME_SHARE = 0.3;
 
-/** A request is handled by functions that await each other; each needs a microtask to go on. */
-const MICROTASKS_PER_REQUEST = 12;
+/**
+ * A request is handled by functions that await each other; each needs microtasks to go on. A poll that is answered from
+ * memory has to be finished within these, or its work counts for no turn.
+ */
+export const MICROTASKS_PER_REQUEST = 24;
 
 /** Lets work that has just been resumed run, as far as it does not wait for I/O. */
 async function microtasks(): Promise<void> {
--- a/test/unit/user-request-handler.test.ts
+++ b/test/unit/user-request-handler.test.ts
@@ -10,15 +10,25 @@
 import { parseSettings } from '../../src/config/settings.js';
 import type { StoredJob } from '../../src/ledger/job-records.js';
 import { Job, type FinalState } from '../../src/ledger/job.js';
-import type { JobLookupResult } from '../../src/leader/job-requests.js';
+import { JobPhase } from '../../src/ledger/job-phase.js';
+import {
+  JobRequests,
+  type JobLookupResult,
+  type JobRequestDependencies,
+} from '../../src/leader/job-requests.js';
 import type { Reachability } from '../../src/peer/reachability.js';
 import { ControllerId, Revision, SteadyMs, WallMs, ms, sleep } from '../../src/units/index.js';
+import { MICROTASKS_PER_REQUEST } from '../../src/units/turn-budget.js';
 import { encode, encodeJobSpec, parseSubmission, type JobSpec } from '../../src/wire/index.js';
 import { machineTypes } from '../standin/machine-types.js';
 import { JOB_ID, createLeaderRequestHandlers } from '../support/leader-request-handlers.js';
 import { jobSpec } from '../support/job-spec.js';
 import { settingsFile } from '../support/settings-file.js';
 
+const POLL = { type: 'readJob', job: JOB_ID } as const;
+/** What is left to do once the response is known: to encode it and pass it on. */
+const RESPONSE_MICROTASKS = 3;
+
 void test('a response that depends on authority is sent only if authority lasts until then', async () => {
   const running = new Job(JOB_ID, jobSpec({}), WallMs(0), Revision(5));
   const body = encode(encodeJobSpec(jobSpec({})));
@@ -281,3 +291,24 @@
     assert.equal(response.shouldCloseConnection ?? false, shouldCloseConnection, reachability);
   }
 });
+
+void test('a poll that the leader answers from memory is finished while its turn of the event loop is counted', async () => {
+  const running = new Job(JOB_ID, jobSpec({}), WallMs(0), Revision(5));
+  const { clock, term, userRequestHandler } = createLeaderRequestHandlers({ kind: 'absent' });
+  const ledger = { jobs: new Map([[JOB_ID, running]]) };
+  const jobRequests = new JobRequests({ ledger, clock } as unknown as JobRequestDependencies);
+  Object.assign(term, {
+    findJob: () => jobRequests.find(JOB_ID),
+    isCurrentPhase: () => jobRequests.isCurrent(JOB_ID, JobPhase.accepted),
+  });
+  const cases: [string, () => Promise<ApiResponse>][] = [
+    ['relayed', () => userRequestHandler.handleRelayed(POLL, clock.steady())],
+    ['direct', () => userRequestHandler.handle('GET', `/v1/jobs/${JOB_ID}`, Buffer.alloc(0))],
+  ];
+  for (const [name, poll] of cases) {
+    let status = 0;
+    void poll().then((response) => (status = response.status));
+    for (let i = 0; i < MICROTASKS_PER_REQUEST - RESPONSE_MICROTASKS; i++) await Promise.resolve();
+    assert.equal(status, 200, name);
+  }
+});
